--- /dev/null
+++ b/schema/wire.capnp
@@ -0,0 +1,127 @@
+# Messages between the system's own processes. Every message travels in one length-prefixed frame.
+@0xc1b7a4f0d2e93a51;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("chervilturn::wire");
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    call @1 :Call;
+    answer @2 :Answer;
+    cancel @3 :AttemptId;
+    inquire @4 :AttemptId;
+    pending @5 :AttemptId;
+    ping @6 :UInt64;
+    pong @7 :UInt64;
+    subscribe @8 :Digest;
+    update @9 :Update;
+    keyInquiry @10 :KeyInquiry;
+    keyReport @11 :KeyReport;
+  }
+}
+
+# First frame on each connection, sent by the side that opened it.
+struct Hello {
+  protocol @0 :UInt32;
+  host @1 :Text;
+  dataCentre @2 :Text;
+  incarnation @3 :UInt64;
+  peerAddress @4 :Text;
+}
+
+# Unique over the fleet: the entry's random incarnation and a counter within it.
+struct AttemptId {
+  entry @0 :UInt64;
+  sequence @1 :UInt64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Call {
+  attempt @0 :AttemptId;
+  team @1 :Text;
+  workspace @2 :Text;
+  service @3 :Text;
+  route @4 :Text;
+  urgent @5 :Bool;
+  idempotent @6 :Bool;
+  remainingMicros @7 :UInt64;
+  extraAttempts @8 :UInt32;
+  depth @9 :UInt32;
+  key @10 :Text;
+  keyCreatedMillis @11 :Int64;
+  method @12 :Text;
+  target @13 :Text;
+  headers @14 :List(Header);
+  body @15 :Data;
+}
+
+struct Load {
+  inUse @0 :UInt32;
+  queued @1 :UInt32;
+  limit @2 :UInt32;
+}
+
+struct Answer {
+  attempt @0 :AttemptId;
+  outcome @1 :UInt16;
+  reason @2 :UInt16;
+  status @3 :UInt16;
+  headers @4 :List(Header);
+  body @5 :Data;
+  load @6 :Load;
+  serviceMicros @7 :UInt64;
+  backendServer @8 :Text;
+  ownerHost @9 :Text;
+}
+
+struct SubtreeRevision {
+  subtree @0 :Text;
+  revision @1 :UInt64;
+}
+
+# Asks for everything newer than the revisions listed: once, or whenever it changes when follow is set.
+# The update that answers it directly repeats the nonce.
+struct Digest {
+  subtrees @0 :List(SubtreeRevision);
+  nonce @1 :UInt64;
+  follow @2 :Bool;
+}
+
+struct Leaf {
+  path @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  value @3 :Text;
+}
+
+struct SubtreeUpdate {
+  subtree @0 :Text;
+  revision @1 :UInt64;
+  leaves @2 :List(Leaf);
+}
+
+# Leaves newer than the receiver's digest; an empty list confirms that the receiver is up to date.
+# The nonce is 0 in updates that no digest asked for.
+struct Update {
+  subtrees @0 :List(SubtreeUpdate);
+  nonce @1 :UInt64;
+}
+
+# The present home of an idempotency key asks an earlier home, which then never runs the key.
+struct KeyInquiry {
+  number @0 :UInt64;
+  key @1 :Text;
+  createdMillis @2 :Int64;
+  home @3 :Text;
+}
+
+struct KeyReport {
+  number @0 :UInt64;
+  finding @1 :UInt16;
+  answer @2 :Answer;
+}
--- /dev/null
+++ b/src/chervilturn/admission/door.cpp
@@ -0,0 +1,103 @@
+// Decisions of the owner's door.
+#include "chervilturn/admission/door.hpp"
+
+namespace chervilturn {
+
+door::door(const door_options& given) : options{given}, limit{given.warm_up} {}
+
+void door::configure(const door_options& given) noexcept {
+    this->options = given;
+    this->limit.configure(given.warm_up);
+}
+
+admission door::admit(const queue_entry& entry, instant now) {
+    this->free_abandoned(now);
+    if (entry.deadline <= now) {
+        return refused{reason::deadline_too_near};
+    }
+    if (this->limit.state() == backend_state::draining) {
+        return refused{reason::backend_draining};
+    }
+    if (this->limit.state() == backend_state::unreachable) {
+        return refused{reason::backend_unreachable};
+    }
+    if (this->waiting.size() == 0 && this->has_free_slot()) {
+        this->in_use.emplace(entry.attempt, std::nullopt);
+        return dispatched{};
+    }
+    if (now + this->expected_wait() > entry.deadline) {
+        return refused{reason::deadline_too_near};
+    }
+    if (this->waiting.size() < this->options.max_queue) {
+        this->waiting.push(entry);
+        return queued{};
+    }
+    return this->displace_for(entry);
+}
+
+admission door::displace_for(const queue_entry& entry) {
+    const auto largest = this->waiting.largest_share();
+    const double share_after = this->waiting.share_of(entry.workspace, entry.weight) + 1.0 / entry.weight;
+    if (largest.workspace == entry.workspace || share_after >= largest.calls_per_weight) {
+        return refused{reason::queue_full};
+    }
+    auto displaced = this->waiting.drop_newest(largest.workspace);
+    this->waiting.push(entry);
+    return queued{std::move(displaced)};
+}
+
+void door::complete(const attempt_id& attempt, microseconds service_time) {
+    if (this->in_use.erase(attempt) > 0) {
+        this->limit.on_answer(service_time);
+    }
+}
+
+void door::release(const attempt_id& attempt) {
+    this->in_use.erase(attempt);
+}
+
+void door::abandon(const attempt_id& attempt, instant now) {
+    const auto found = this->in_use.find(attempt);
+    if (found != this->in_use.end()) {
+        found->second = now + this->options.cancel_grace;
+    }
+}
+
+departures door::advance(instant now) {
+    this->free_abandoned(now);
+    departures leaving;
+    for (const auto& entry : this->waiting.expire(now)) {
+        leaving.expired.push_back(entry.attempt);
+    }
+    while (this->has_free_slot()) {
+        const auto next = this->waiting.pop();
+        if (!next) {
+            break;
+        }
+        this->in_use.emplace(next->attempt, std::nullopt);
+        leaving.dispatch.push_back(next->attempt);
+    }
+    return leaving;
+}
+
+load_report door::report() const noexcept {
+    return {.in_use = static_cast<std::uint32_t>(this->in_use.size()),
+            .queued = static_cast<std::uint32_t>(this->waiting.size()),
+            .limit = this->limit.limit()};
+}
+
+bool door::has_free_slot() const noexcept {
+    return this->in_use.size() < this->limit.limit();
+}
+
+microseconds door::expected_wait() const noexcept {
+    const auto slots = static_cast<std::int64_t>(std::max(1U, this->limit.limit()));
+    const auto ahead = static_cast<std::int64_t>(this->waiting.size());
+    return this->limit.normal_service_time() * ahead / slots;
+}
+
+void door::free_abandoned(instant now) {
+    std::erase_if(this->in_use, [now](const auto& held) { return held.second && *held.second <= now; });
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/admission/door.hpp
@@ -0,0 +1,87 @@
+// The only way to the backend server on this host: counts slots exactly, queues, and refuses at once.
+#pragma once
+
+#include "chervilturn/admission/fair_queue.hpp"
+#include "chervilturn/admission/warm_up.hpp"
+
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+namespace chervilturn {
+
+/// @brief Construction of a door.
+struct door_options {
+    warm_up_options warm_up;
+    std::uint32_t max_queue = 64;
+    microseconds cancel_grace = std::chrono::milliseconds{100}; // a cancelled call may still hold its slot
+};
+
+/// @brief The call runs now.
+struct dispatched {};
+
+/// @brief The call waits; a call of another workspace may have been pushed out to make room.
+struct queued {
+    std::optional<queue_entry> displaced;
+};
+
+/// @brief The call was not taken and did not run.
+struct refused {
+    reason why = reason::queue_full;
+};
+
+using admission = std::variant<dispatched, queued, refused>;
+
+/// @brief Calls that leave the queue: to the backend server, or back as not run.
+struct departures {
+    std::vector<attempt_id> dispatch;
+    std::vector<attempt_id> expired;
+};
+
+/// @brief Admission to one backend server. Does no I/O; the owner carries out what it decides.
+class door {
+  public:
+    explicit door(const door_options& options);
+
+    void configure(const door_options& options) noexcept;
+
+    /// @brief Decides on a new call.
+    [[nodiscard]] admission admit(const queue_entry& entry, instant now);
+
+    /// @brief A dispatched call ended with a whole answer.
+    void complete(const attempt_id& attempt, microseconds service_time);
+
+    /// @brief A dispatched call certainly no longer runs, without an answer to learn from.
+    void release(const attempt_id& attempt);
+
+    /// @brief A dispatched call was cancelled and may hold its slot for the cancel grace.
+    void abandon(const attempt_id& attempt, instant now);
+
+    /// @brief Takes a waiting call out; false when it does not wait.
+    bool withdraw(const attempt_id& attempt) { return this->waiting.remove(attempt); }
+
+    /// @brief Fills free slots from the queue and takes out calls past their deadline.
+    [[nodiscard]] departures advance(instant now);
+
+    /// @brief Takes every waiting call out.
+    [[nodiscard]] std::vector<queue_entry> clear_queue() { return this->waiting.clear(); }
+
+    [[nodiscard]] load_report report() const noexcept;
+    [[nodiscard]] warm_up_limit& backend() noexcept { return this->limit; }
+    [[nodiscard]] const warm_up_limit& backend() const noexcept { return this->limit; }
+    [[nodiscard]] std::size_t running() const noexcept { return this->in_use.size(); }
+
+  private:
+    [[nodiscard]] admission displace_for(const queue_entry& entry);
+    [[nodiscard]] bool has_free_slot() const noexcept;
+    [[nodiscard]] microseconds expected_wait() const noexcept;
+    void free_abandoned(instant now);
+
+    door_options options;
+    warm_up_limit limit;
+    fair_queue waiting;
+    // Dispatched calls. Each holds a slot until it is completed, released, or its grace has passed.
+    std::unordered_map<attempt_id, std::optional<instant>, attempt_id_hash> in_use;
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/admission/fwd.hpp
@@ -0,0 +1,17 @@
+// Names that module admission offers: the owner's door to its backend server.
+#pragma once
+
+namespace chervilturn {
+
+struct warm_up_options;
+class warm_up_limit;
+struct queue_entry;
+class fair_queue;
+struct door_options;
+class door;
+struct key_record_options;
+class home_history;
+class key_record;
+class attempt_record;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/admission/home_history.hpp
@@ -0,0 +1,67 @@
+// Which owner is home of an idempotency key, now and in the recent past.
+#pragma once
+
+#include "chervilturn/call/call.hpp"
+#include "chervilturn/config/model.hpp"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervilturn {
+
+/// @brief Both clocks at one moment.
+struct clock_reading {
+    instant monotonic{};
+    wall_time wall{};
+};
+
+/// @brief A backend server that may be home of keys.
+struct home_candidate {
+    address node;
+    std::string region;
+
+    bool operator==(const home_candidate&) const = default;
+};
+
+/// @brief Backend servers of a service that settings and host list leave in service, alive or not.
+[[nodiscard]] std::vector<home_candidate> home_candidates(const model& settings, const team& owner,
+                                                          const service& target);
+
+/// @brief The home of a key by rendezvous over the candidates that the regions admit; nothing without any.
+[[nodiscard]] std::optional<address> key_home(const std::vector<home_candidate>& candidates,
+                                              const region_set& regions, const std::string& key);
+
+/// @brief Since when this owner is a key's home, and who was before.
+struct home_period {
+    clock_reading since;
+    std::vector<address> earlier; // homes before it within memory; empty when none is known
+};
+
+/// @brief Past candidate sets of one service as this owner accepted them.
+class home_history {
+  public:
+    /// @brief Notes the candidates in force; only changes are kept.
+    void observe(const std::vector<home_candidate>& candidates, const clock_reading& now);
+
+    /// @brief Since when a node is home of a key; it must be the home under the latest candidates.
+    [[nodiscard]] home_period period(const region_set& regions, const std::string& key,
+                                     const address& self) const;
+
+    /// @brief Forgets candidates that were replaced before an instant.
+    void expire(instant before);
+
+    /// @brief Forgets everything but the latest candidates, which count from now on.
+    void restart(const clock_reading& now);
+
+  private:
+    struct observed_set {
+        clock_reading since;
+        std::vector<home_candidate> candidates;
+    };
+
+    std::deque<observed_set> sets; // oldest first
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/admission/warm_up.cpp
@@ -0,0 +1,117 @@
+// Growth and collapse of the concurrency limit.
+#include "chervilturn/admission/warm_up.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr double slow_factor = 3.0;            // an answer this many times the normal stops growth
+constexpr double cold_factor = 8.0;            // an answer this many times the normal hints at a cold start
+constexpr std::uint32_t cold_answer_count = 3; // slow answers in a row that count as a cold start
+constexpr double falling_weight = 0.1;         // of a faster answer in the smoothed service time
+constexpr double rising_weight = 0.01;         // of a slower one, so that a slow spell stays visible
+
+} // namespace
+
+const backend_chart& default_backend_chart() {
+    static const auto parsed = backend_chart::parse(chart_text::backend_server);
+    if (!succeeded(parsed)) {
+        std::abort();
+    }
+    return value_of(parsed);
+}
+
+warm_up_limit::warm_up_limit(const warm_up_options& given)
+    : options{given}, machine{default_backend_chart()}, allowed{std::min(given.cold_slots, given.slots)} {}
+
+void warm_up_limit::configure(const warm_up_options& given) noexcept {
+    this->options = given;
+    this->allowed = std::min(this->allowed, given.slots);
+    this->allowed = std::max(this->allowed, std::min(given.cold_slots, given.slots));
+}
+
+void warm_up_limit::on_answer(microseconds service_time) noexcept {
+    const auto micros = static_cast<double>(service_time.count());
+    this->machine.apply(backend_event::answered);
+    const double normal = this->normal_micros;
+    this->learn_normal(micros);
+    if (normal > 0.0 && micros > normal * cold_factor) {
+        if (++this->slow_answers >= cold_answer_count) {
+            this->become_cold();
+        }
+        return;
+    }
+    this->slow_answers = 0;
+    if (normal > 0.0 && micros > normal * slow_factor) {
+        return;
+    }
+    this->grow();
+}
+
+void warm_up_limit::on_lost() noexcept {
+    this->machine.apply(backend_event::lost);
+    this->become_cold();
+}
+
+void warm_up_limit::on_reached() noexcept {
+    this->machine.apply(backend_event::reached);
+}
+
+void warm_up_limit::on_restarted() noexcept {
+    this->become_cold();
+}
+
+void warm_up_limit::on_drain(bool draining) noexcept {
+    if (draining) {
+        this->machine.apply(backend_event::drain_started);
+        return;
+    }
+    if (this->machine.apply(backend_event::drain_ended)) {
+        this->become_cold();
+    }
+}
+
+std::uint32_t warm_up_limit::limit() const noexcept {
+    switch (this->machine.state()) {
+    case backend_state::draining:
+    case backend_state::unreachable:
+        return 0;
+    default:
+        return this->allowed;
+    }
+}
+
+microseconds warm_up_limit::normal_service_time() const noexcept {
+    return microseconds{static_cast<std::int64_t>(this->normal_micros)};
+}
+
+void warm_up_limit::become_cold() noexcept {
+    this->machine.apply(backend_event::cold_sign);
+    this->allowed = std::min(this->options.cold_slots, this->options.slots);
+    this->normal_answers = 0;
+    this->slow_answers = 0;
+}
+
+void warm_up_limit::learn_normal(double micros) noexcept {
+    if (this->normal_micros == 0.0) {
+        this->normal_micros = micros;
+        return;
+    }
+    const double weight = micros < this->normal_micros ? falling_weight : rising_weight;
+    this->normal_micros += weight * (micros - this->normal_micros);
+}
+
+void warm_up_limit::grow() noexcept {
+    if (this->allowed < this->options.slots && ++this->normal_answers >= this->options.answers_per_slot) {
+        ++this->allowed;
+        this->normal_answers = 0;
+    }
+    if (this->allowed >= this->options.slots) {
+        this->machine.apply(backend_event::limit_full);
+    }
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/call/fwd.hpp
@@ -0,0 +1,15 @@
+// Names that module call offers: calls, attempts, answers and the rules for trying again.
+#pragma once
+
+namespace chervilturn {
+
+struct attempt_id;
+struct header;
+struct call;
+struct load_report;
+struct answer;
+struct retry_options;
+class retry_budget;
+class call_plan;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/call/retry.cpp
@@ -0,0 +1,59 @@
+// Retry budgets and plans.
+#include "chervilturn/call/retry.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+retry_budget::retry_budget(const retry_options& options) noexcept
+    : earned_per_call{options.earned_per_call}, capacity{options.capacity}, saved{options.capacity} {}
+
+void retry_budget::set_earned_per_call(double share) noexcept {
+    this->earned_per_call = share;
+}
+
+void retry_budget::count_first_attempt() noexcept {
+    this->saved = std::min(this->capacity, this->saved + this->earned_per_call);
+}
+
+bool retry_budget::take() noexcept {
+    if (this->saved < 1.0) {
+        return false;
+    }
+    this->saved -= 1.0;
+    return true;
+}
+
+call_plan::call_plan(bool may_repeat, std::uint32_t extra_attempts) noexcept
+    : idempotent{may_repeat}, extra_left{std::min(extra_attempts, default_extra_attempts)} {}
+
+next_step call_plan::decide(const answer& ended, microseconds remaining, retry_budget& budget) noexcept {
+    if (ended.result == outcome::completed || is_final(ended.why)) {
+        return next_step::answer_caller;
+    }
+    if (ended.result == outcome::unknown && !this->idempotent) {
+        return next_step::answer_caller;
+    }
+    if (remaining <= microseconds::zero() || this->extra_left == 0 || !budget.take()) {
+        return next_step::answer_caller;
+    }
+    --this->extra_left;
+    return next_step::try_again;
+}
+
+bool is_final(reason why) noexcept {
+    switch (why) {
+    case reason::outside_home_regions:
+    case reason::key_record_young:
+    case reason::key_record_full:
+    case reason::key_expired:
+    case reason::cancelled:
+    case reason::deadline_too_near:
+    case reason::bad_request:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/call/retry.hpp
@@ -0,0 +1,66 @@
+// Rules for further attempts: a budget per workspace and a plan per call.
+#pragma once
+
+#include "chervilturn/call/call.hpp"
+
+namespace chervilturn {
+
+/// @brief Construction of a workspace's retry budget.
+struct retry_options {
+    double earned_per_call = 0.1; // extra attempts earned by each first attempt
+    double capacity = 10.0;       // extra attempts that may be saved up
+};
+
+/// @brief Bounds extra attempts of one workspace as a share of its first attempts.
+class retry_budget {
+  public:
+    explicit retry_budget(const retry_options& options) noexcept;
+
+    /// @brief Changes the share; attempts saved up stay, within the capacity.
+    void set_earned_per_call(double share) noexcept;
+
+    void count_first_attempt() noexcept;
+
+    /// @brief Pays for one extra attempt if the budget allows it.
+    [[nodiscard]] bool take() noexcept;
+
+  private:
+    double earned_per_call;
+    double capacity;
+    double saved; // between 0 and capacity
+};
+
+/// @brief Extra attempts of a call that comes from outside.
+inline constexpr std::uint32_t default_extra_attempts = 2;
+
+/// @brief What the entry does after an attempt ended.
+enum class next_step { answer_caller, try_again };
+
+/// @brief Attempts of one call: which owners were tried and whether another may be.
+class call_plan {
+  public:
+    call_plan(bool idempotent, std::uint32_t extra_attempts) noexcept;
+
+    /// @brief Extra attempts that the attempt about to be sent may hand to nested calls.
+    ///
+    /// Halving bounds the attempts of a whole call tree: with two extra attempts at the root no more
+    /// than four attempts reach the deepest level, however deep the tree is.
+    [[nodiscard]] std::uint32_t extra_for_nested() const noexcept { return this->extra_left / 2; }
+
+    /// @brief Decides after an attempt; spends from the budget only when another attempt follows.
+    [[nodiscard]] next_step decide(const answer& ended, microseconds remaining,
+                                   retry_budget& budget) noexcept;
+
+    [[nodiscard]] std::uint32_t attempts() const noexcept { return this->made; }
+    void count_attempt() noexcept { ++this->made; }
+
+  private:
+    bool idempotent;
+    std::uint32_t extra_left;
+    std::uint32_t made = 0;
+};
+
+/// @brief Whether a refusal would be the same at every other owner.
+[[nodiscard]] bool is_final(reason why) noexcept;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/config/fwd.hpp
@@ -0,0 +1,21 @@
+// Names that module config offers: the node's settings file, the published settings tree and its compiled
+// model.
+#pragma once
+
+namespace chervilturn {
+
+struct settings_error;
+struct node_settings;
+struct leaf;
+struct subtree_snapshot;
+class settings_tree;
+struct backend_server;
+struct service;
+struct workspace;
+struct route;
+struct data_centre;
+struct team;
+struct host;
+struct model;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/config/node_settings.cpp
@@ -0,0 +1,115 @@
+// Reading and checking of a node's settings file.
+#include "chervilturn/config/node_settings.hpp"
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::int64_t hour_in_milliseconds = 3'600'000;
+
+[[nodiscard]] node_limits read_limits(object_reader& reader) {
+    node_limits limits;
+    limits.max_header_bytes = static_cast<std::size_t>(reader.integer_or(
+        "max_header_bytes", {1024, 1 << 20}, static_cast<std::int64_t>(limits.max_header_bytes)));
+    limits.max_body_bytes = static_cast<std::size_t>(reader.integer_or(
+        "max_body_bytes", {1024, 64 << 20}, static_cast<std::int64_t>(limits.max_body_bytes)));
+    limits.max_calls = static_cast<std::size_t>(
+        reader.integer_or("max_calls", {1, 1'000'000}, static_cast<std::int64_t>(limits.max_calls)));
+    limits.default_deadline =
+        reader.milliseconds_or("default_deadline_ms", {0, hour_in_milliseconds}, limits.default_deadline);
+    limits.max_deadline =
+        reader.milliseconds_or("max_deadline_ms", {1, hour_in_milliseconds}, limits.max_deadline);
+    limits.shutdown_grace =
+        reader.milliseconds_or("shutdown_grace_ms", {0, hour_in_milliseconds}, limits.shutdown_grace);
+    if (limits.default_deadline > limits.max_deadline) {
+        reader.reject("default_deadline_ms", "at most max_deadline_ms");
+    }
+    return limits;
+}
+
+[[nodiscard]] probe_limits read_probes(object_reader& reader) {
+    probe_limits probes;
+    probes.probes_per_second = static_cast<double>(reader.integer_or("probes_per_second", {1, 100}, 2));
+    probes.timeout = reader.milliseconds_or("timeout_ms", {1, 60'000}, probes.timeout);
+    return probes;
+}
+
+void check_distinct(object_reader& reader, const node_settings& settings) {
+    std::map<address, const char*> taken;
+    const std::pair<const char*, address> own[] = {{"callers", settings.callers},
+                                                   {"peers", settings.peers},
+                                                   {"operators", settings.operators},
+                                                   {"backend_server", settings.backend_server}};
+    for (const auto& [key, where] : own) {
+        const auto [existing, added] = taken.emplace(where, key);
+        if (!added) {
+            reader.reject(key, std::string{"different from the address of \""} + existing->second + "\"");
+        }
+    }
+}
+
+template<typename Section, typename Read>
+void read_section(object_reader& parent, const char* key, Section& section, Read read) {
+    auto reader = parent.section(key);
+    if (!reader) {
+        return;
+    }
+    section = read(*reader);
+    static_cast<void>(reader->finish());
+    parent.adopt(*reader);
+}
+
+} // namespace
+
+const std::vector<std::string>& policy_names() {
+    static const std::vector<std::string> names{"uniform_random", "round_robin", "least_outstanding",
+                                                "two_choices", "load_aware"};
+    return names;
+}
+
+result<node_settings, settings_error> parse_node_settings(const std::string& text,
+                                                          const std::string& source) {
+    const auto root = nlohmann::json::parse(text, nullptr, false, true);
+    if (root.is_discarded()) {
+        return settings_error{source, "(root)", "the text", "valid JSON"};
+    }
+    object_reader reader{root, source, ""};
+    node_settings settings;
+    settings.host = reader.text("host");
+    settings.data_centre = reader.text("data_centre");
+    settings.callers = reader.address_at("callers");
+    settings.peers = reader.address_at("peers");
+    settings.reachable_at = reader.address_or("reachable_at", settings.peers);
+    settings.operators = reader.address_at("operators");
+    settings.backend_server = reader.address_at("backend_server");
+    settings.platform = reader.addresses_or_none("platform");
+    settings.seeds = reader.addresses_or_none("seeds");
+    settings.accepted_hosts = reader.names_or_none("accepted_hosts");
+    settings.policy = reader.one_of_or("policy", policy_names(), settings.policy);
+    settings.log_level =
+        reader.one_of_or("log_level", {"trace", "debug", "info", "warn", "error"}, settings.log_level);
+    settings.seed = static_cast<std::uint64_t>(reader.integer_or("seed", {0, INT64_MAX}, 0));
+    read_section(reader, "limits", settings.limits, read_limits);
+    read_section(reader, "probes", settings.probes, read_probes);
+    check_distinct(reader, settings);
+    if (const auto fault = reader.finish()) {
+        return *fault;
+    }
+    return settings;
+}
+
+result<node_settings, settings_error> read_node_settings(const std::string& file) {
+    std::ifstream stream{file};
+    if (!stream) {
+        return settings_error{file, "(file)", "the file", "readable"};
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse_node_settings(text.str(), file);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/config/node_settings.hpp
@@ -0,0 +1,62 @@
+// The settings file of one node: where it listens, which backend server it guards and where it learns the
+// rest.
+#pragma once
+
+#include "chervilturn/config/object_reader.hpp"
+#include "chervilturn/core/address.hpp"
+#include "chervilturn/core/result.hpp"
+#include "chervilturn/core/time.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilturn {
+
+/// @brief Limits that protect the process itself.
+struct node_limits {
+    std::size_t max_header_bytes = 16UL * 1024;
+    std::size_t max_body_bytes = 8UL * 1024 * 1024;
+    std::size_t max_calls = 4096;                             // calls from callers in progress at one entry
+    microseconds default_deadline = std::chrono::seconds{10}; // zero: callers must give a deadline
+    microseconds max_deadline = std::chrono::minutes{5};
+    microseconds shutdown_grace = std::chrono::seconds{60};
+};
+
+/// @brief The budget for asking the backend server about its load.
+struct probe_limits {
+    double probes_per_second = 2.0;
+    microseconds timeout = std::chrono::milliseconds{500};
+};
+
+/// @brief Everything that a node learns from its settings file.
+struct node_settings {
+    std::string host;
+    std::string data_centre;
+    address callers;
+    address peers;        // where the node listens for other nodes
+    address reachable_at; // the address of peers as settings and other nodes know it
+    address operators;
+    address backend_server;
+    std::vector<address> platform;
+    std::vector<address> seeds;           // peer addresses to ask while the host list is unknown
+    std::set<std::string> accepted_hosts; // names that callers may use besides the callers' address
+    std::string policy = "load_aware";
+    std::string log_level = "info";
+    std::uint64_t seed = 0; // 0 draws one from the system
+    node_limits limits;
+    probe_limits probes;
+};
+
+/// @brief Names of the selection policies that a node may run.
+[[nodiscard]] const std::vector<std::string>& policy_names();
+
+/// @brief Parses settings text; source names it in errors.
+[[nodiscard]] result<node_settings, settings_error> parse_node_settings(const std::string& text,
+                                                                        const std::string& source);
+
+/// @brief Reads and parses a settings file.
+[[nodiscard]] result<node_settings, settings_error> read_node_settings(const std::string& file);
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/core/fwd.hpp
@@ -0,0 +1,12 @@
+// Names that module core offers: results, time, addresses, state charts, token buckets, random numbers.
+#pragma once
+
+namespace chervilturn {
+
+struct address;
+class token_bucket;
+class random_source;
+template<typename State, typename Event> class state_chart;
+template<typename State, typename Event> class state_machine;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/core/state_chart.cpp
@@ -0,0 +1,38 @@
+// Reading of chart files.
+#include "chervilturn/core/state_chart.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace chervilturn::internal {
+
+namespace {
+
+std::optional<std::string> text_member(const nlohmann::json& object, const char* key) {
+    if (!object.is_object() || !object.contains(key) || !object[key].is_string()) {
+        return std::nullopt;
+    }
+    return object[key].get<std::string>();
+}
+
+} // namespace
+
+result<named_chart, chart_error> read_chart(std::string_view text) {
+    const auto parsed = nlohmann::json::parse(text, nullptr, false, true);
+    const auto initial = text_member(parsed, "initial");
+    if (!initial || !parsed.contains("transitions") || !parsed["transitions"].is_array()) {
+        return chart_error{"a chart needs \"initial\" and a list \"transitions\""};
+    }
+    named_chart chart{.initial = *initial, .transitions = {}};
+    for (const auto& entry : parsed["transitions"]) {
+        const auto from = text_member(entry, "from");
+        const auto event = text_member(entry, "event");
+        const auto to = text_member(entry, "to");
+        if (!from || !event || !to) {
+            return chart_error{"a transition needs \"from\", \"event\" and \"to\""};
+        }
+        chart.transitions.push_back({*from, *event, *to});
+    }
+    return chart;
+}
+
+} // namespace chervilturn::internal
--- /dev/null
+++ b/src/chervilturn/core/token_bucket.cpp
@@ -0,0 +1,39 @@
+// Refill and spending of token buckets.
+#include "chervilturn/core/token_bucket.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+token_bucket::token_bucket(const token_bucket_options& options) noexcept
+    : tokens_per_second{options.tokens_per_second}, capacity{options.capacity}, tokens{options.capacity},
+      refilled_at{options.now} {}
+
+bool token_bucket::take(double wanted, instant now) noexcept {
+    this->refill(now);
+    if (this->tokens < wanted) {
+        return false;
+    }
+    this->tokens -= wanted;
+    return true;
+}
+
+void token_bucket::earn(double earned) noexcept {
+    this->tokens = std::min(this->capacity, this->tokens + earned);
+}
+
+double token_bucket::level(instant now) noexcept {
+    this->refill(now);
+    return this->tokens;
+}
+
+void token_bucket::refill(instant now) noexcept {
+    if (now <= this->refilled_at) {
+        return;
+    }
+    const double seconds = to_seconds(now - this->refilled_at);
+    this->tokens = std::min(this->capacity, this->tokens + seconds * this->tokens_per_second);
+    this->refilled_at = now;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/membership/fwd.hpp
@@ -0,0 +1,11 @@
+// Names that module membership offers: the relay tree for settings, connection health and pause detection.
+#pragma once
+
+namespace chervilturn {
+
+struct relay_position;
+class pause_detector;
+struct connection_options;
+class connection_health;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/membership/relay_tree.cpp
@@ -0,0 +1,81 @@
+// Ranking of hosts into relay trees.
+#include "chervilturn/membership/relay_tree.hpp"
+
+#include "chervilturn/core/hash.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace chervilturn {
+
+namespace {
+
+struct ranked_host {
+    bool leaving;
+    std::uint64_t weight;
+    address peers;
+};
+
+using ranking = std::vector<ranked_host>;
+
+[[nodiscard]] std::map<std::string, ranking> rank_hosts(const model& settings) {
+    std::map<std::string, ranking> ranks;
+    for (const auto& [peers, listed] : settings.hosts) {
+        const auto weight = rendezvous_weight(listed.data_centre, to_string(peers));
+        ranks[listed.data_centre].push_back({listed.leaving, weight, peers});
+    }
+    for (auto& [name, hosts] : ranks) {
+        std::sort(hosts.begin(), hosts.end(), [](const ranked_host& a, const ranked_host& b) {
+            return a.leaving != b.leaving ? b.leaving : a.weight > b.weight;
+        });
+    }
+    return ranks;
+}
+
+void add_ancestors(relay_position& position, const ranking& hosts, std::size_t rank) {
+    std::size_t ancestor = rank;
+    while (ancestor >= readers_per_data_centre) {
+        ancestor = (ancestor - readers_per_data_centre) / relay_fan_out;
+        position.parents.push_back(hosts[ancestor].peers);
+    }
+    for (std::size_t reader = 0; reader < std::min(readers_per_data_centre, hosts.size()); ++reader) {
+        const auto& peers = hosts[reader].peers;
+        const auto listed = std::find(position.parents.begin(), position.parents.end(), peers);
+        if (reader != rank && listed == position.parents.end()) {
+            position.parents.push_back(peers);
+        }
+    }
+}
+
+} // namespace
+
+relay_position place_in_relay_tree(const model& settings, const address& self,
+                                   const std::string& data_centre) {
+    relay_position position;
+    const auto ranks = rank_hosts(settings);
+    const auto own = ranks.find(data_centre);
+    if (own == ranks.end()) {
+        position.reader = true;
+        return position;
+    }
+    const auto& hosts = own->second;
+    const auto found = std::find_if(hosts.begin(), hosts.end(),
+                                    [&self](const ranked_host& ranked) { return ranked.peers == self; });
+    if (found == hosts.end()) {
+        position.reader = true;
+        return position;
+    }
+    const auto rank = static_cast<std::size_t>(found - hosts.begin());
+    position.reader = rank < readers_per_data_centre;
+    add_ancestors(position, hosts, rank);
+    if (position.reader) {
+        for (const auto& [name, others] : ranks) {
+            if (name != data_centre) {
+                position.parents.push_back(others.front().peers);
+            }
+        }
+    }
+    return position;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -0,0 +1,34 @@
+// Asks the backend server about its load within a budget, from its own host only.
+#pragma once
+
+#include "chervilturn/admission/warm_up.hpp"
+#include "chervilturn/core/token_bucket.hpp"
+#include "chervilturn/node/context.hpp"
+#include "chervilturn/transport/http.hpp"
+
+#include <string>
+
+namespace chervilturn {
+
+/// @brief Probes one backend server and tells its warm-up limit what it learns.
+///
+/// Load endpoints lag or mislead, so only a restart, a drain and reachability are read from them.
+class backend_probe {
+  public:
+    backend_probe(const node_context& context, http_client& client, warm_up_limit& limit);
+
+  private:
+    void send();
+    void on_result(const http_result& result, instant sent_at);
+    void learn(const std::string& body);
+
+    const node_context* context;
+    http_client* client;
+    warm_up_limit* limit;
+    token_bucket budget;
+    bool in_progress = false;
+    std::string boot_mark; // of the backend server; empty before the first report
+    timer tick;
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/entry_task.cpp
@@ -0,0 +1,366 @@
+// The entry's path of a call: read, choose, send, decide, answer.
+#include "chervilturn/node/entry_task.hpp"
+
+#include "chervilturn/admission/home_history.hpp"
+#include "chervilturn/node/key_desk.hpp"
+#include "chervilturn/observe/log.hpp"
+
+namespace chervilturn {
+
+namespace {
+
+constexpr double percent = 100.0;
+
+[[nodiscard]] std::uint16_t status_for(const answer& ended) {
+    constexpr std::uint16_t bad_request = 400;
+    constexpr std::uint16_t conflict = 409;
+    constexpr std::uint16_t misdirected = 421;
+    constexpr std::uint16_t bad_gateway = 502;
+    constexpr std::uint16_t unavailable = 503;
+    constexpr std::uint16_t gateway_timeout = 504;
+    if (ended.result == outcome::completed) {
+        return ended.status == 0 ? conflict : ended.status;
+    }
+    if (ended.why == reason::bad_request) {
+        return bad_request;
+    }
+    if (ended.why == reason::outside_home_regions) {
+        return misdirected;
+    }
+    if (ended.result == outcome::not_run) {
+        return unavailable;
+    }
+    return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
+}
+
+[[nodiscard]] http_response refusal_response(std::uint16_t status, outcome result, reason why,
+                                             const std::string& message) {
+    const nlohmann::json body{{"outcome", std::string{to_string(result)}},
+                              {"reason", std::string{to_string(why)}},
+                              {"message", message}};
+    return {.status = status,
+            .headers = {{"content-type", "application/json"},
+                        {"chervilturn-outcome", std::string{to_string(result)}},
+                        {"chervilturn-reason", std::string{to_string(why)}}},
+            .body = body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace) + '\n'};
+}
+
+} // namespace
+
+entry_task::entry_task(const node_context& shared)
+    : context{&shared}, selection{make_policy(shared.settings.policy)}, random{shared.settings.seed} {
+    shared.boxes->entry.on_message([this](entry_message&& received) {
+        std::visit([this](const auto& item) { this->handle(item); }, received);
+    });
+}
+
+result<success, transport_error> entry_task::start() {
+    const auto& limits = this->context->settings.limits;
+    auto listening = http_server::listen(
+        *this->context->loop, this->context->settings.callers,
+        {.max_header_bytes = limits.max_header_bytes, .max_body_bytes = limits.max_body_bytes},
+        [this](std::shared_ptr<http_exchange> exchange) { this->on_request(std::move(exchange)); });
+    if (!succeeded(listening)) {
+        return error_of(listening);
+    }
+    this->server = value_of(std::move(listening));
+    return success{};
+}
+
+bool entry_task::idle() const noexcept {
+    return this->calls.empty() && this->server->responses_in_flight() == 0;
+}
+
+void entry_task::handle(const settings_changed& message) {
+    this->settings = message.settings;
+    std::map<address, load_view> kept;
+    for (const auto& [team_name, owner] : this->settings->teams) {
+        for (const auto& [service_name, target] : owner.services) {
+            for (const auto& backend : target.backend_servers) {
+                const auto known = this->views.find(backend.node);
+                kept.emplace(backend.node,
+                             known == this->views.end() ? load_view{backend.slots} : known->second);
+            }
+        }
+    }
+    this->views = std::move(kept);
+}
+
+void entry_task::handle(const attempt_ended& message) {
+    const auto now = now_monotonic();
+    const auto found = this->attempts.find(message.ended.attempt);
+    if (found == this->attempts.end()) {
+        ++this->context->measured->counters().late_answers;
+        return;
+    }
+    const auto opened = found->second;
+    this->attempts.erase(found);
+    opened->in_progress = false;
+    const auto view = this->views.find(opened->owner);
+    if (view != this->views.end()) {
+        if (message.answered) {
+            view->second.on_answer(message.ended, elapsed(opened->sent_at, now), now);
+        } else {
+            view->second.on_silence(now);
+        }
+    }
+    opened->last = message.ended;
+    opened->may_have_run = opened->may_have_run || message.ended.result == outcome::unknown;
+    auto& budget = this->budget_of(opened->request.made, opened->request.retry_percent);
+    if (opened->plan.decide(message.ended, elapsed(now, opened->deadline), budget) == next_step::try_again) {
+        this->try_next(opened);
+        return;
+    }
+    this->close(opened, opened->last);
+}
+
+void entry_task::handle(const shutdown_started&) {
+    this->shutting_down = true;
+    this->server->stop_accepting();
+}
+
+void entry_task::handle(const describe_request& request) {
+    auto described = nlohmann::json::array();
+    const auto now = now_monotonic();
+    for (const auto& [owner, view] : this->views) {
+        described.push_back({{"owner", to_string(owner)},
+                             {"outstanding", view.outstanding()},
+                             {"estimated_calls", view.estimated_calls(now)},
+                             {"limit", view.limit(now)},
+                             {"latency_us", view.latency(now).count()},
+                             {"in_penalty", view.in_penalty(now)}});
+    }
+    request.reply({{"open_calls", this->calls.size()},
+                   {"policy", std::string{this->selection->name()}},
+                   {"backend_servers", std::move(described)}});
+}
+
+void entry_task::handle(const explain_request& request) {
+    const auto* owner = this->settings->find_team(request.team);
+    if (owner == nullptr || !owner->services.contains(request.service) ||
+        !owner->workspaces.contains(request.workspace)) {
+        request.reply({{"error", "team, service or workspace does not exist"}});
+        return;
+    }
+    const auto& target = owner->services.at(request.service);
+    const auto* matched = match_route(*owner, request.service, request.path);
+    auto regions = owner->workspaces.at(request.workspace).home_regions;
+    if (matched != nullptr) {
+        regions = common_regions(regions, matched->home_regions);
+    }
+    const auto checked = this->eligibility_of(*owner, target, regions);
+    const auto now = now_monotonic();
+    auto servers = nlohmann::json::array();
+    for (const auto& backend : target.backend_servers) {
+        const auto& view = this->view_of(backend);
+        servers.push_back({{"backend_server", backend.name},
+                           {"data_centre", backend.data_centre},
+                           {"region", this->settings->region_of(backend.data_centre)},
+                           {"excluded_by", std::string{to_string(exclusion_of(checked, backend))}},
+                           {"estimated_calls", view.estimated_calls(now)},
+                           {"limit", view.limit(now)},
+                           {"latency_us", view.latency(now).count()},
+                           {"in_penalty", view.in_penalty(now)}});
+    }
+    request.reply({{"route", matched == nullptr ? "" : matched->name},
+                   {"policy", std::string{this->selection->name()}},
+                   {"candidates", std::move(servers)}});
+}
+
+void entry_task::on_request(std::shared_ptr<http_exchange> exchange) {
+    if (this->shutting_down) {
+        auto response = refusal_response(503, outcome::not_run, reason::shutting_down, "the node shuts down");
+        response.headers.push_back({"connection", "close"});
+        exchange->respond(response);
+        return;
+    }
+    if (this->calls.size() >= this->context->settings.limits.max_calls) {
+        this->reject(*exchange, {503, reason::queue_full, "too many calls in progress at this node"});
+        return;
+    }
+    auto read = read_request({.settings = this->settings.get(), .node = &this->context->settings},
+                             std::move(exchange->request()));
+    if (!succeeded(read)) {
+        this->reject(*exchange, error_of(read));
+        return;
+    }
+    auto request = value_of(std::move(read));
+    const auto here = this->settings->region_of(this->context->settings.data_centre);
+    if (!admits(request.regions, here)) {
+        this->reject(*exchange,
+                     {421, reason::outside_home_regions, "this node is outside the call's home regions"});
+        return;
+    }
+    this->open(std::move(exchange), std::move(request));
+}
+
+void entry_task::open(std::shared_ptr<http_exchange> exchange, accepted_request&& request) {
+    const auto now = now_monotonic();
+    const call_plan plan{request.made.idempotent, request.extra_attempts};
+    const auto deadline = now + request.made.remaining;
+    this->budget_of(request.made, request.retry_percent).count_first_attempt();
+    this->calls.push_back(open_call{.exchange = std::move(exchange),
+                                    .request = std::move(request),
+                                    .plan = plan,
+                                    .started = now,
+                                    .deadline = deadline,
+                                    .tried = {},
+                                    .attempt = {},
+                                    .owner = {},
+                                    .last = {},
+                                    .expiry = nullptr});
+    const auto opened = std::prev(this->calls.end());
+    opened->exchange->on_abandoned([this, opened] { this->on_caller_gone(opened); });
+    opened->expiry =
+        std::make_unique<timer>(*this->context->loop, [this, opened] { this->on_deadline(opened); });
+    opened->expiry->start_once(elapsed(now, deadline));
+    this->try_next(opened);
+}
+
+void entry_task::try_next(call_iterator opened) {
+    const auto& made = opened->request.made;
+    const auto* owner = this->settings->find_team(made.team);
+    const auto* target = owner != nullptr && owner->services.contains(made.service)
+                             ? &owner->services.at(made.service)
+                             : nullptr;
+    const auto* server = target == nullptr ? nullptr
+                         : made.key.given() && !made.idempotent
+                             ? this->choose_key_home(*opened, *owner, *target)
+                             : this->choose(*opened, *owner, *target);
+    if (server != nullptr) {
+        this->send(opened, *server);
+        return;
+    }
+    if (opened->plan.attempts() == 0) {
+        opened->last = refuse({}, outcome::not_run, reason::no_backend_server);
+    }
+    this->close(opened, opened->last);
+}
+
+const backend_server* entry_task::choose(open_call& opened, const team& owner, const service& target) {
+    const auto now = now_monotonic();
+    const auto candidates = eligible_candidates(
+        this->eligibility_of(owner, target, opened.request.regions), opened.tried,
+        [this](const backend_server& backend) -> const load_view& { return this->view_of(backend); }, now);
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const auto picked = candidates[this->selection->pick(candidates, this->random, now)].index;
+    opened.tried.push_back(picked);
+    return &target.backend_servers[picked];
+}
+
+const backend_server* entry_task::choose_key_home(const open_call& opened, const team& owner,
+                                                  const service& target) const {
+    const auto candidates = home_candidates(*this->settings, owner, target);
+    const auto home = key_home(candidates, opened.request.regions, scoped_key(opened.request.made).text);
+    for (const auto& backend : target.backend_servers) {
+        if (home == backend.node) {
+            return &backend;
+        }
+    }
+    return nullptr;
+}
+
+void entry_task::send(call_iterator opened, const backend_server& backend) {
+    const auto now = now_monotonic();
+    auto attempt = opened->request.made;
+    attempt.attempt = {.entry = this->context->incarnation, .sequence = ++this->sequence};
+    attempt.remaining = elapsed(now, opened->deadline);
+    attempt.extra_attempts = opened->plan.extra_for_nested();
+    opened->plan.count_attempt();
+    opened->attempt = attempt.attempt;
+    opened->owner = backend.node;
+    opened->sent_at = now;
+    opened->in_progress = true;
+    this->attempts.emplace(attempt.attempt, opened);
+    this->view_of(backend).on_sent(now);
+    if (backend.node == this->context->settings.reachable_at) {
+        this->context->boxes->owner.post(std::move(attempt));
+    } else {
+        this->context->boxes->links.post(send_attempt{backend.node, std::move(attempt)});
+    }
+}
+
+void entry_task::on_deadline(call_iterator opened) {
+    this->give_up_attempt(*opened);
+    this->close(opened, refuse(opened->attempt, outcome::unknown, reason::timed_out));
+}
+
+void entry_task::on_caller_gone(call_iterator opened) {
+    this->give_up_attempt(*opened);
+    this->close(opened, refuse(opened->attempt, outcome::unknown, reason::cancelled));
+}
+
+void entry_task::give_up_attempt(open_call& opened) {
+    if (!opened.in_progress) {
+        return;
+    }
+    const auto now = now_monotonic();
+    this->attempts.erase(opened.attempt);
+    const auto view = this->views.find(opened.owner);
+    if (view != this->views.end()) {
+        view->second.on_given_up(elapsed(opened.sent_at, now), now);
+    }
+    if (opened.owner == this->context->settings.reachable_at) {
+        this->context->boxes->owner.post(cancel{opened.attempt});
+    } else {
+        this->context->boxes->links.post(cancel_attempt{opened.owner, opened.attempt});
+    }
+}
+
+void entry_task::close(call_iterator opened, const answer& ended) {
+    auto final_answer = ended;
+    if (opened->may_have_run && final_answer.result == outcome::not_run) {
+        final_answer.result = outcome::unknown; // an earlier attempt of the same call may have run
+    }
+    this->respond(*opened, final_answer);
+    this->calls.erase(opened);
+}
+
+void entry_task::respond(open_call& opened, const answer& ended) {
+    const auto& made = opened.request.made;
+    auto& series = this->context->measured->series(
+        {.team = made.team, .workspace = made.workspace, .urgent = made.urgent});
+    series.latency.record(elapsed(opened.started, now_monotonic()));
+    ++series.outcomes.at(static_cast<std::size_t>(ended.result));
+    series.extra_attempts += std::max(1U, opened.plan.attempts()) - 1;
+    auto response = ended.result == outcome::completed && ended.status != 0
+                        ? http_response{.status = ended.status, .headers = ended.headers, .body = ended.body}
+                        : refusal_response(status_for(ended), ended.result, ended.why, "");
+    if (ended.result == outcome::completed && ended.status != 0) {
+        response.headers.push_back({"chervilturn-outcome", std::string{to_string(ended.result)}});
+    }
+    response.headers.push_back({"chervilturn-entry", this->context->settings.host});
+    response.headers.push_back({"chervilturn-owner", ended.owner_host});
+    response.headers.push_back({"chervilturn-backend-server", ended.backend_server});
+    response.headers.push_back({"chervilturn-attempts", std::to_string(opened.plan.attempts())});
+    opened.exchange->respond(response);
+}
+
+void entry_task::reject(http_exchange& exchange, const request_error& error) {
+    ++this->context->measured->counters().refusals.at(static_cast<std::size_t>(error.why));
+    exchange.respond(refusal_response(error.status, outcome::not_run, error.why, error.message));
+}
+
+load_view& entry_task::view_of(const backend_server& backend) {
+    return this->views.try_emplace(backend.node, load_view{backend.slots}).first->second;
+}
+
+retry_budget& entry_task::budget_of(const call& made, std::uint32_t retry_percent) {
+    auto& budget = this->budgets.try_emplace(made.team + '/' + made.workspace, retry_budget{retry_options{}})
+                       .first->second;
+    budget.set_earned_per_call(retry_percent / percent);
+    return budget;
+}
+
+eligibility_request entry_task::eligibility_of(const team& owner, const service& target,
+                                               const region_set& regions) const {
+    return {.settings = this->settings.get(),
+            .owner = &owner,
+            .target = &target,
+            .regions = regions,
+            .entry_data_centre = this->context->settings.data_centre};
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/entry_task.hpp
@@ -0,0 +1,81 @@
+// The entry: takes calls from callers, chooses backend servers, tries again where that is safe, answers.
+#pragma once
+
+#include "chervilturn/call/retry.hpp"
+#include "chervilturn/node/context.hpp"
+#include "chervilturn/node/messages.hpp"
+#include "chervilturn/node/request_reader.hpp"
+#include "chervilturn/selection/policy.hpp"
+
+#include <list>
+#include <unordered_map>
+
+namespace chervilturn {
+
+/// @brief Owns the callers' sockets and all calls in progress at this node.
+class entry_task {
+  public:
+    explicit entry_task(const node_context& context);
+
+    /// @brief Starts to listen on the callers' address.
+    [[nodiscard]] result<success, transport_error> start();
+
+    /// @brief Whether every call is answered and every answer written out.
+    [[nodiscard]] bool idle() const noexcept;
+
+  private:
+    struct open_call {
+        std::shared_ptr<http_exchange> exchange;
+        accepted_request request;
+        call_plan plan;
+        instant started;
+        instant deadline;
+        std::vector<std::size_t> tried; // backend servers by index in the service
+        attempt_id attempt;             // the one in progress
+        address owner;                  // of the attempt in progress
+        instant sent_at{};
+        bool in_progress = false;  // whether an attempt is
+        bool may_have_run = false; // an earlier attempt ended unknown
+        answer last;               // of the latest attempt that ended
+        std::unique_ptr<timer> expiry;
+    };
+    using call_iterator = std::list<open_call>::iterator;
+
+    void handle(const settings_changed& message);
+    void handle(const attempt_ended& message);
+    void handle(const shutdown_started& message);
+    void handle(const describe_request& request);
+    void handle(const explain_request& request);
+
+    void on_request(std::shared_ptr<http_exchange> exchange);
+    void open(std::shared_ptr<http_exchange> exchange, accepted_request&& request);
+    void try_next(call_iterator opened);
+    [[nodiscard]] const backend_server* choose(open_call& opened, const team& owner, const service& target);
+    [[nodiscard]] const backend_server* choose_key_home(const open_call& opened, const team& owner,
+                                                        const service& target) const;
+    void send(call_iterator opened, const backend_server& server);
+    void on_deadline(call_iterator opened);
+    void on_caller_gone(call_iterator opened);
+    void give_up_attempt(open_call& opened);
+    void close(call_iterator opened, const answer& ended);
+    void respond(open_call& opened, const answer& ended);
+    void reject(http_exchange& exchange, const request_error& error);
+    [[nodiscard]] load_view& view_of(const backend_server& server);
+    [[nodiscard]] retry_budget& budget_of(const call& made, std::uint32_t retry_percent);
+    [[nodiscard]] eligibility_request eligibility_of(const team& owner, const service& target,
+                                                     const region_set& regions) const;
+
+    const node_context* context;
+    std::unique_ptr<http_server> server;
+    std::shared_ptr<const model> settings = std::make_shared<const model>();
+    std::unique_ptr<policy> selection;
+    random_source random;
+    std::map<address, load_view> views;          // by the owner's peer address
+    std::map<std::string, retry_budget> budgets; // by "team/workspace"
+    std::list<open_call> calls;
+    std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts; // in progress
+    std::uint64_t sequence = 0;
+    bool shutting_down = false;
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/fwd.hpp
@@ -0,0 +1,15 @@
+// Names that module node offers: the tasks of one node and the node itself.
+#pragma once
+
+namespace chervilturn {
+
+struct node_context;
+class entry_task;
+class owner_task;
+class links_task;
+class peer_server_task;
+class control_task;
+class operators_task;
+class node;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/key_desk.cpp
@@ -0,0 +1,128 @@
+// Inquiries among homes of idempotency keys.
+#include "chervilturn/node/key_desk.hpp"
+
+#include "chervilturn/observe/log.hpp"
+
+namespace chervilturn {
+
+namespace {
+
+constexpr microseconds reply_timeout = std::chrono::milliseconds{400};
+constexpr microseconds home_memory = std::chrono::minutes{11}; // longer than keys are retained
+
+} // namespace
+
+clock_reading read_clocks() noexcept {
+    return {now_monotonic(), now_wall()};
+}
+
+idempotency_key scoped_key(const call& carrier) {
+    idempotency_key scoped{.text = carrier.team, .created = carrier.key.created};
+    for (const auto* part : {&carrier.workspace, &carrier.service, &carrier.key.text}) {
+        scoped.text += '/';
+        scoped.text += *part;
+    }
+    return scoped;
+}
+
+key_desk::key_desk(const node_context& shared, settled_handler handler)
+    : context{&shared}, settled{std::move(handler)}, record{key_record_options{}, read_clocks()} {}
+
+void key_desk::observe(const model& settings) {
+    const auto now = read_clocks();
+    for (const auto& [team_name, owner] : settings.teams) {
+        for (const auto& [service_name, target] : owner.services) {
+            auto& history = this->homes[team_name + '/' + service_name];
+            history.observe(home_candidates(settings, owner, target), now);
+            history.expire(now.monotonic - home_memory);
+        }
+    }
+}
+
+void key_desk::settle(call&& carrier, const team& owner, const service& target, const region_set& regions) {
+    const auto key = scoped_key(carrier);
+    auto period = this->homes[owner.name + '/' + target.name].period(regions, key.text,
+                                                                     this->context->settings.reachable_at);
+    const auto decision = this->record.decide(key, period, read_clocks());
+    if (const auto* wanted = std::get_if<key_ask>(&decision)) {
+        this->ask(std::move(carrier), std::move(period), *wanted);
+        return;
+    }
+    this->settled(std::move(carrier), decision);
+}
+
+void key_desk::begin(const call& carrier) {
+    this->record.begin(scoped_key(carrier), read_clocks());
+}
+
+void key_desk::finish(const call& carrier, const answer& ended) {
+    if (ended.result == outcome::not_run) {
+        this->record.forget(scoped_key(carrier));
+    } else {
+        this->record.finish(scoped_key(carrier), ended);
+    }
+}
+
+key_report key_desk::report_and_fence(const key_inquiry& asked) {
+    return this->record.report_and_fence(asked.key, asked.home, read_clocks());
+}
+
+void key_desk::on_reply(const key_inquiry_reply& reply) {
+    const auto found = this->held.find(reply.number);
+    if (found == this->held.end()) {
+        return;
+    }
+    found->second.reports.push_back(reply.report);
+    if (--found->second.awaited == 0) {
+        this->conclude(reply.number);
+    }
+}
+
+void key_desk::check_overdue(instant now) {
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [number, waiting] : this->held) {
+        if (now >= waiting.reply_by) {
+            overdue.push_back(number);
+        }
+    }
+    for (const auto number : overdue) {
+        this->held.at(number).reports.push_back({key_finding::unreachable, {}});
+        this->conclude(number);
+    }
+}
+
+void key_desk::restart() {
+    const auto now = read_clocks();
+    this->record.restart(now);
+    for (auto& [service_name, history] : this->homes) {
+        history.restart(now);
+    }
+}
+
+void key_desk::ask(call&& carrier, home_period period, const key_ask& wanted) {
+    const auto number = ++this->inquiries;
+    const auto now = now_monotonic();
+    for (const auto& earlier : wanted.earlier) {
+        this->context->boxes->links.post(send_key_inquiry{
+            earlier,
+            {.number = number, .key = scoped_key(carrier), .home = this->context->settings.reachable_at}});
+    }
+    const auto deadline = now + carrier.remaining;
+    this->held.emplace(number, held_call{.carrier = std::move(carrier),
+                                         .period = std::move(period),
+                                         .reports = {},
+                                         .awaited = wanted.earlier.size(),
+                                         .deadline = deadline,
+                                         .reply_by = std::min(now + reply_timeout, deadline)});
+}
+
+void key_desk::conclude(std::uint64_t number) {
+    auto waiting = std::move(this->held.at(number));
+    this->held.erase(number);
+    const auto decision = this->record.decide_after_asking(scoped_key(waiting.carrier), waiting.period,
+                                                           waiting.reports, read_clocks());
+    waiting.carrier.remaining = elapsed(now_monotonic(), waiting.deadline);
+    this->settled(std::move(waiting.carrier), decision);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/operators_task.hpp
@@ -0,0 +1,27 @@
+// The operators' port: status page, explanation of choices, and metrics.
+#pragma once
+
+#include "chervilturn/node/context.hpp"
+#include "chervilturn/node/messages.hpp"
+#include "chervilturn/transport/http.hpp"
+
+namespace chervilturn {
+
+/// @brief Serves GET /status, GET /metrics and GET /explain.
+class operators_task {
+  public:
+    explicit operators_task(const node_context& context);
+
+    /// @brief Starts to listen on the operators' address.
+    [[nodiscard]] result<success, transport_error> start();
+
+  private:
+    void on_request(const std::shared_ptr<http_exchange>& exchange);
+    void respond_status(const std::shared_ptr<http_exchange>& exchange);
+    void respond_explanation(const std::shared_ptr<http_exchange>& exchange);
+
+    const node_context* context;
+    std::unique_ptr<http_server> server;
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/owner_task.cpp
@@ -0,0 +1,506 @@
+// The owner's decisions in order: recognise repeats, check beliefs, settle the key, admit, dispatch.
+#include "chervilturn/node/owner_task.hpp"
+
+#include "chervilturn/observe/log.hpp"
+#include "chervilturn/selection/eligibility.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr microseconds tick_period = std::chrono::milliseconds{10};
+constexpr microseconds reply_margin = std::chrono::milliseconds{5}; // before the entry's own deadline
+constexpr std::int64_t margin_share = 10; // the margin takes at most this part of the remaining time
+constexpr microseconds cut_window = std::chrono::milliseconds{100};
+constexpr microseconds long_pause = std::chrono::seconds{19}; // settings may have moved keys away and back
+constexpr std::uint16_t status_unavailable = 503;
+
+[[nodiscard]] region_set regions_of(const team& owner, const call& checked) {
+    region_set regions;
+    const auto customer = owner.workspaces.find(checked.workspace);
+    if (customer != owner.workspaces.end()) {
+        regions = customer->second.home_regions;
+    }
+    const auto matched = owner.routes.find(checked.route);
+    if (matched != owner.routes.end()) {
+        regions = common_regions(regions, matched->second.home_regions);
+    }
+    return regions;
+}
+
+// The owner gives up a little earlier than the entry, so that its word on the outcome arrives in time.
+[[nodiscard]] instant owner_deadline(instant now, microseconds remaining) {
+    return now + remaining - std::min(reply_margin, remaining / margin_share);
+}
+
+[[nodiscard]] bool needs_key_settled(const call& checked) {
+    return checked.key.given() && !checked.idempotent;
+}
+
+} // namespace
+
+owner_task::owner_task(const node_context& shared)
+    : context{&shared}, gate{door_options{}}, attempts{attempt_record_options{}},
+      keys{shared,
+           [this](call&& received, const key_decision& decision) {
+               this->on_key_settled(std::move(received), decision);
+           }},
+      backend{*shared.loop, shared.settings.backend_server,
+              http_client_options{.max_body_bytes = shared.settings.limits.max_body_bytes}},
+      pauses{now_monotonic()}, tick{*shared.loop, [this] { this->advance(); }}, probe{shared, this->backend,
+                                                                                      this->gate.backend()} {
+    shared.boxes->owner.on_message([this](owner_message&& received) {
+        this->watch_for_pause();
+        std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
+                   std::move(received));
+    });
+    this->tick.start_periodic(tick_period);
+}
+
+void owner_task::handle(const settings_changed& message) {
+    this->settings = message.settings;
+    this->keys.observe(*this->settings);
+    this->configure_door();
+    this->recheck_waiting();
+}
+
+void owner_task::handle(const beliefs_doubted&) {
+    this->beliefs_in_doubt = true;
+    this->refuse_waiting(reason::beliefs_unconfirmed);
+}
+
+void owner_task::handle(const beliefs_confirmed&) {
+    this->beliefs_in_doubt = false;
+}
+
+void owner_task::handle(const shutdown_started&) {
+    this->shutting_down = true;
+    this->refuse_waiting(reason::shutting_down);
+}
+
+void owner_task::handle(call&& received) {
+    if (this->repeat_known(received)) {
+        return;
+    }
+    this->attempts.begin(received.attempt, now_monotonic() + received.remaining);
+    const auto objection = this->objection_to(received);
+    if (objection != reason::none) {
+        this->reply(refuse(received.attempt, outcome::not_run, objection));
+        return;
+    }
+    if (!needs_key_settled(received)) {
+        this->admit(std::move(received));
+        return;
+    }
+    const auto here = this->place_of(received);
+    const auto regions = regions_of(*here.owner, received);
+    const auto home = key_home(home_candidates(*this->settings, *here.owner, *here.target), regions,
+                               scoped_key(received).text);
+    if (home != this->context->settings.reachable_at) {
+        this->reply(refuse(received.attempt, outcome::not_run, reason::not_the_key_home));
+        return;
+    }
+    this->keys.settle(std::move(received), *here.owner, *here.target, regions);
+}
+
+void owner_task::handle(const cancel& request) {
+    const auto found = this->calls.find(request.attempt);
+    if (found == this->calls.end()) {
+        return;
+    }
+    auto& cancelled = found->second;
+    if (!cancelled.running && cancelled.repeats.empty()) {
+        static_cast<void>(this->gate.withdraw(request.attempt));
+        this->finish(refuse(request.attempt, outcome::not_run, reason::cancelled));
+        return;
+    }
+    if (cancelled.running && cancelled.received.idempotent) {
+        this->backend.give_up(cancelled.exchange);
+    }
+}
+
+void owner_task::handle(const inquiry& request) {
+    switch (this->attempts.state_of(request.attempt)) {
+    case attempt_state::absent:
+        this->attempts.fence(request.attempt, now_monotonic());
+        [[fallthrough]];
+    case attempt_state::fenced:
+        this->reply(refuse(request.attempt, outcome::not_run, reason::fenced));
+        break;
+    case attempt_state::in_progress:
+        this->context->boxes->peers.post(return_pending{request.attempt});
+        break;
+    case attempt_state::ended:
+        this->reply(this->attempts.kept_answer(request.attempt)
+                        .value_or(refuse(request.attempt, outcome::unknown, reason::answer_too_large)));
+        break;
+    }
+}
+
+void owner_task::handle(const key_asked& asked) {
+    const auto report = this->keys.report_and_fence(asked.inquiry);
+    this->context->boxes->peers.post(return_key_report{asked.connection, {asked.inquiry.number, report}});
+}
+
+void owner_task::handle(const key_inquiry_reply& reply) {
+    this->keys.on_reply(reply);
+}
+
+void owner_task::handle(const describe_request& request) {
+    const auto load = this->gate.report();
+    request.reply({{"state", std::string{name_of(this->gate.backend().state())}},
+                   {"in_use", load.in_use},
+                   {"queued", load.queued},
+                   {"limit", load.limit},
+                   {"normal_service_time_us", this->gate.backend().normal_service_time().count()},
+                   {"recorded_keys", this->keys.recorded_keys()},
+                   {"recorded_attempts", this->attempts.size()},
+                   {"beliefs_in_doubt", this->beliefs_in_doubt},
+                   {"shutting_down", this->shutting_down}});
+}
+
+// A pause is noticed at the first event after it, before that event's call can be dispatched.
+void owner_task::watch_for_pause() {
+    const auto pause = this->pauses.observe(now_monotonic());
+    if (pause == microseconds::zero()) {
+        return;
+    }
+    ++this->context->measured->counters().pauses;
+    log_event(log_level::warn, "pause_noticed",
+              {{"pause_us", pause.count()}, {"waiting_calls", this->gate.report().queued}});
+    if (pause >= long_pause) {
+        this->keys.restart();
+    }
+    this->handle(beliefs_doubted{});
+    this->context->boxes->control.post(beliefs_doubted{});
+}
+
+owner_task::place owner_task::place_of(const call& checked) const {
+    place found;
+    found.owner = this->settings->find_team(checked.team);
+    if (found.owner == nullptr) {
+        return found;
+    }
+    const auto target = found.owner->services.find(checked.service);
+    if (target == found.owner->services.end()) {
+        return found;
+    }
+    found.target = &target->second;
+    for (const auto& server : found.target->backend_servers) {
+        if (server.node == this->context->settings.reachable_at) {
+            found.server = &server;
+        }
+    }
+    return found;
+}
+
+// Everything that forbids to run a call here and now; checked on arrival and again before dispatch.
+reason owner_task::objection_to(const call& checked) const {
+    if (this->shutting_down) {
+        return reason::shutting_down;
+    }
+    if (this->beliefs_in_doubt) {
+        return reason::beliefs_unconfirmed;
+    }
+    const auto here = this->place_of(checked);
+    if (here.server == nullptr) {
+        return reason::not_the_owner;
+    }
+    const eligibility_request request{.settings = this->settings.get(),
+                                      .owner = here.owner,
+                                      .target = here.target,
+                                      .regions = regions_of(*here.owner, checked),
+                                      .entry_data_centre = this->context->settings.data_centre};
+    return exclusion_of(request, *here.server);
+}
+
+bool owner_task::repeat_known(const call& received) {
+    switch (this->attempts.state_of(received.attempt)) {
+    case attempt_state::absent:
+        return false;
+    case attempt_state::fenced:
+        this->reply(refuse(received.attempt, outcome::not_run, reason::fenced));
+        break;
+    case attempt_state::ended:
+        if (const auto kept = this->attempts.kept_answer(received.attempt)) {
+            this->reply(*kept);
+        }
+        break;
+    case attempt_state::in_progress:
+        break;
+    }
+    ++this->context->measured->counters().repeated_attempts;
+    return true;
+}
+
+void owner_task::on_key_settled(call&& received, const key_decision& decision) {
+    std::visit(overloaded{[&](const key_fresh&) { this->admit(std::move(received)); },
+                          [&](const key_in_progress&) { this->join_repeat(received); },
+                          [&](const key_answered& known) {
+                              auto repeated = known.kept;
+                              repeated.attempt = received.attempt;
+                              this->reply(std::move(repeated));
+                          },
+                          [&](const key_refused& refusal) {
+                              this->reply(refuse(received.attempt, refusal.result, refusal.why));
+                          },
+                          [&](const key_ask&) {
+                              this->reply(
+                                  refuse(received.attempt, outcome::unknown, reason::key_record_young));
+                          }},
+               decision);
+}
+
+void owner_task::join_repeat(const call& received) {
+    const auto carrier = this->key_carriers.find(scoped_key(received).text);
+    if (carrier == this->key_carriers.end()) {
+        this->reply(refuse(received.attempt, outcome::unknown, reason::timed_out));
+        return;
+    }
+    this->calls.at(carrier->second).repeats.push_back(received.attempt);
+}
+
+void owner_task::admit(call&& received) {
+    const auto now = now_monotonic();
+    const auto attempt = received.attempt;
+    const auto objection = this->objection_to(received);
+    if (objection != reason::none) {
+        this->reply(refuse(attempt, outcome::not_run, objection));
+        return;
+    }
+    const auto here = this->place_of(received);
+    const auto customer = here.owner->workspaces.find(received.workspace);
+    const queue_entry wanted{.attempt = attempt,
+                             .workspace = received.team + '/' + received.workspace,
+                             .weight = customer == here.owner->workspaces.end() ? 1 : customer->second.weight,
+                             .urgent = received.urgent,
+                             .deadline = owner_deadline(now, received.remaining)};
+    const auto admitted = this->gate.admit(wanted, now);
+    if (const auto* refusal = std::get_if<refused>(&admitted)) {
+        this->reply(refuse(attempt, outcome::not_run, refusal->why));
+        return;
+    }
+    if (needs_key_settled(received)) {
+        this->keys.begin(received);
+        this->key_carriers[scoped_key(received).text] = attempt;
+    }
+    owned_call owned{
+        .received = std::move(received), .deadline = wanted.deadline, .exchange = {}, .repeats = {}};
+    this->calls.emplace(attempt, std::move(owned));
+    if (const auto* waiting = std::get_if<queued>(&admitted)) {
+        if (waiting->displaced) {
+            this->finish(refuse(waiting->displaced->attempt, outcome::not_run, reason::queue_full));
+        }
+        return;
+    }
+    this->dispatch(attempt);
+}
+
+// The last check before a call may run.
+void owner_task::dispatch(const attempt_id& attempt) {
+    auto& owned = this->calls.at(attempt);
+    const auto now = now_monotonic();
+    const auto objection = this->objection_to(owned.received);
+    if (objection != reason::none || owned.deadline <= now) {
+        this->gate.release(attempt);
+        const auto why = objection != reason::none ? objection : reason::deadline_too_near;
+        this->finish(refuse(attempt, outcome::not_run, why));
+        return;
+    }
+    const auto remaining = elapsed(now, owned.deadline);
+    owned.running = true;
+    owned.dispatched_at = now;
+    http_request request{.method = owned.received.method,
+                         .target = owned.received.target,
+                         .headers = owned.received.headers,
+                         .body = owned.received.body};
+    const auto whole_milliseconds = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+    request.headers.push_back({"chervilturn-deadline-ms", std::to_string(whole_milliseconds)});
+    request.headers.push_back({"chervilturn-extra-attempts", std::to_string(owned.received.extra_attempts)});
+    request.headers.push_back({"chervilturn-depth", std::to_string(owned.received.depth + 1)});
+    request.headers.push_back({"chervilturn-workspace", owned.received.workspace});
+    if (owned.received.key.given()) {
+        request.headers.push_back({"idempotency-key", owned.received.key.text});
+    }
+    owned.exchange = this->backend.send(request, remaining, [this, attempt](http_result result) {
+        this->on_response(attempt, std::move(result));
+    });
+}
+
+void owner_task::on_response(const attempt_id& attempt, http_result result) {
+    this->watch_for_pause();
+    const auto found = this->calls.find(attempt);
+    if (found == this->calls.end()) {
+        return;
+    }
+    this->finish(this->to_answer(found->second, std::move(result)));
+    this->advance();
+}
+
+answer owner_task::to_answer(const owned_call& ended, http_result&& result) {
+    const auto now = now_monotonic();
+    answer made;
+    made.attempt = ended.received.attempt;
+    made.service_time = elapsed(ended.dispatched_at, now);
+    made.backend_server = this->place_of(ended.received).server == nullptr
+                              ? std::string{}
+                              : this->place_of(ended.received).server->name;
+    if (const auto* failure = std::get_if<http_failure>(&result)) {
+        this->on_failure(*failure, made);
+        return made;
+    }
+    auto& response = std::get<http_response>(result);
+    if (response.status == status_unavailable &&
+        find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run)) {
+        this->gate.release(made.attempt);
+        made.result = outcome::not_run;
+        made.why = reason::backend_shed;
+        return made;
+    }
+    this->gate.complete(made.attempt, made.service_time);
+    made.result = outcome::completed;
+    made.status = response.status;
+    made.body = std::move(response.body);
+    for (auto& item : response.headers) {
+        if (!is_hop_by_hop(item.name)) {
+            made.headers.push_back(std::move(item));
+        }
+    }
+    return made;
+}
+
+void owner_task::on_failure(http_failure failure, answer& ended) {
+    ended.result = outcome::unknown;
+    switch (failure) {
+    case http_failure::refused:
+        this->gate.release(ended.attempt);
+        this->gate.backend().on_lost();
+        ended.result = outcome::not_run;
+        ended.why = reason::backend_unreachable;
+        break;
+    case http_failure::timed_out:
+        this->gate.abandon(ended.attempt, now_monotonic());
+        ended.why = reason::timed_out;
+        break;
+    case http_failure::cancelled:
+        this->gate.abandon(ended.attempt, now_monotonic());
+        ended.why = reason::cancelled;
+        break;
+    case http_failure::cut:
+        this->note_cut_connection(now_monotonic());
+        this->gate.release(ended.attempt);
+        ended.why = reason::answer_incomplete;
+        break;
+    case http_failure::unframed:
+        this->gate.release(ended.attempt);
+        ended.why = reason::answer_incomplete;
+        break;
+    case http_failure::too_large:
+        this->gate.release(ended.attempt);
+        ended.why = reason::answer_too_large;
+        break;
+    }
+}
+
+// When half of the running calls lose their connections at once, the backend server has restarted.
+void owner_task::note_cut_connection(instant now) {
+    if (now - this->cut_at > cut_window) {
+        this->cut_connections = 0;
+        this->running_before_cuts = this->gate.running();
+    }
+    this->cut_at = now;
+    ++this->cut_connections;
+    if (std::size_t{2} * this->cut_connections >= this->running_before_cuts) {
+        this->gate.backend().on_restarted();
+    }
+}
+
+void owner_task::refuse_waiting(reason why) {
+    for (const auto& entry_waiting : this->gate.clear_queue()) {
+        this->finish(refuse(entry_waiting.attempt, outcome::not_run, why));
+    }
+}
+
+// New settings may forbid calls that wait; they are refused now rather than when their turn comes.
+void owner_task::recheck_waiting() {
+    std::vector<answer> refusals;
+    for (const auto& [attempt, owned] : this->calls) {
+        const auto objection = owned.running ? reason::none : this->objection_to(owned.received);
+        if (objection != reason::none) {
+            refusals.push_back(refuse(attempt, outcome::not_run, objection));
+        }
+    }
+    for (auto& refusal : refusals) {
+        static_cast<void>(this->gate.withdraw(refusal.attempt));
+        this->finish(std::move(refusal));
+    }
+}
+
+// Ends a call that was admitted: settles its key and answers it and its repeats.
+void owner_task::finish(answer ended) {
+    const auto found = this->calls.find(ended.attempt);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const auto owned = std::move(found->second);
+    this->calls.erase(found);
+    if (needs_key_settled(owned.received)) {
+        this->key_carriers.erase(scoped_key(owned.received).text);
+        this->keys.finish(owned.received, ended);
+    }
+    for (const auto& repeat : owned.repeats) {
+        auto copy = ended;
+        copy.attempt = repeat;
+        this->reply(std::move(copy));
+    }
+    this->reply(std::move(ended));
+}
+
+void owner_task::reply(answer ended) {
+    ended.load = this->gate.report();
+    ended.owner_host = this->context->settings.host;
+    if (ended.result != outcome::completed) {
+        ++this->context->measured->counters().refusals.at(static_cast<std::size_t>(ended.why));
+    }
+    this->attempts.finish(ended, now_monotonic());
+    if (ended.attempt.entry == this->context->incarnation) {
+        this->context->boxes->entry.post(attempt_ended{std::move(ended), true});
+        return;
+    }
+    this->context->boxes->peers.post(return_answer{std::move(ended)});
+}
+
+void owner_task::advance() {
+    this->watch_for_pause();
+    const auto now = now_monotonic();
+    const auto leaving = this->gate.advance(now);
+    for (const auto& attempt : leaving.expired) {
+        this->finish(refuse(attempt, outcome::not_run, reason::deadline_too_near));
+    }
+    for (const auto& attempt : leaving.dispatch) {
+        this->dispatch(attempt);
+    }
+    this->attempts.expire(now);
+    this->keys.check_overdue(now);
+}
+
+void owner_task::configure_door() {
+    for (const auto& [team_name, owner] : this->settings->teams) {
+        for (const auto& [service_name, target] : owner.services) {
+            for (const auto& server : target.backend_servers) {
+                if (server.node != this->context->settings.reachable_at) {
+                    continue;
+                }
+                this->gate.configure({.warm_up = {.slots = server.slots,
+                                                  .cold_slots = target.cold_slots,
+                                                  .answers_per_slot = target.warm_up_answers},
+                                      .max_queue = target.max_queue});
+                return;
+            }
+        }
+    }
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/owner_task.hpp
@@ -0,0 +1,89 @@
+// The owner: admits, queues and dispatches calls to the backend server on this host, and probes it.
+#pragma once
+
+#include "chervilturn/admission/attempt_record.hpp"
+#include "chervilturn/admission/door.hpp"
+#include "chervilturn/membership/pause_detector.hpp"
+#include "chervilturn/node/backend_probe.hpp"
+#include "chervilturn/node/context.hpp"
+#include "chervilturn/node/key_desk.hpp"
+#include "chervilturn/node/messages.hpp"
+#include "chervilturn/transport/http.hpp"
+
+#include <unordered_map>
+
+namespace chervilturn {
+
+/// @brief Owns the connections to the backend server and everything that is known of its calls.
+class owner_task {
+  public:
+    explicit owner_task(const node_context& context);
+
+    /// @brief Whether no call waits or runs.
+    [[nodiscard]] bool idle() const noexcept { return this->calls.empty() && this->keys.idle(); }
+
+  private:
+    struct owned_call {
+        call received;
+        instant deadline;
+        instant dispatched_at{};
+        bool running = false;
+        std::weak_ptr<http_client::exchange> exchange; // while running
+        std::vector<attempt_id> repeats;               // attempts with the same idempotency key
+    };
+
+    struct place {
+        const team* owner = nullptr;
+        const service* target = nullptr;
+        const backend_server* server = nullptr;
+    };
+
+    void handle(const settings_changed& message);
+    void handle(const beliefs_doubted& message);
+    void handle(const beliefs_confirmed& message);
+    void handle(const shutdown_started& message);
+    void handle(call&& received);
+    void handle(const cancel& request);
+    void handle(const inquiry& request);
+    void handle(const key_asked& asked);
+    void handle(const key_inquiry_reply& reply);
+    void handle(const describe_request& request);
+
+    void watch_for_pause();
+    [[nodiscard]] place place_of(const call& checked) const;
+    [[nodiscard]] reason objection_to(const call& checked) const;
+    [[nodiscard]] bool repeat_known(const call& received);
+    void on_key_settled(call&& received, const key_decision& decision);
+    void join_repeat(const call& received);
+    void admit(call&& received);
+    void dispatch(const attempt_id& attempt);
+    void on_response(const attempt_id& attempt, http_result result);
+    [[nodiscard]] answer to_answer(const owned_call& ended, http_result&& result);
+    void on_failure(http_failure failure, answer& ended);
+    void note_cut_connection(instant now);
+    void refuse_waiting(reason why);
+    void recheck_waiting();
+    void finish(answer ended);
+    void reply(answer ended);
+    void advance();
+    void configure_door();
+
+    const node_context* context;
+    std::shared_ptr<const model> settings = std::make_shared<const model>();
+    door gate;
+    attempt_record attempts;
+    key_desk keys;
+    std::unordered_map<attempt_id, owned_call, attempt_id_hash> calls;
+    std::unordered_map<std::string, attempt_id> key_carriers; // attempt in progress of each key
+    http_client backend;
+    pause_detector pauses;
+    bool beliefs_in_doubt = true; // nothing is dispatched while in doubt
+    bool shutting_down = false;
+    instant cut_at{};
+    std::uint32_t cut_connections = 0; // in a short time
+    std::size_t running_before_cuts = 0;
+    timer tick;
+    backend_probe probe;
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -0,0 +1,154 @@
+// Connections accepted from other nodes.
+#include "chervilturn/node/peer_server_task.hpp"
+
+#include "chervilturn/observe/log.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+peer_server_task::peer_server_task(const node_context& shared) : context{&shared} {
+    shared.boxes->peers.on_message([this](peer_server_message&& received) {
+        std::visit([this](const auto& item) { this->handle(item); }, received);
+    });
+}
+
+result<success, transport_error> peer_server_task::start() {
+    auto listening = peer_listener::listen(
+        *this->context->loop, this->context->settings.peers,
+        [this](std::shared_ptr<peer_connection> made) { this->on_accepted(std::move(made)); });
+    if (!succeeded(listening)) {
+        return error_of(listening);
+    }
+    this->listener = value_of(std::move(listening));
+    return success{};
+}
+
+bool peer_server_task::idle() const noexcept {
+    return std::all_of(this->connections.begin(), this->connections.end(),
+                       [](const auto& held) { return held.second.connection->backlog() == 0; });
+}
+
+void peer_server_task::handle(const return_answer& request) {
+    auto* connection = this->newest_connection(request.ended.attempt.entry);
+    if (connection != nullptr) {
+        this->context->measured->counters().call_bytes_sent += connection->send(request.ended);
+    }
+}
+
+void peer_server_task::handle(const return_pending& request) {
+    auto* connection = this->newest_connection(request.attempt.entry);
+    if (connection != nullptr) {
+        this->send_control(*connection, pending{request.attempt});
+    }
+}
+
+void peer_server_task::handle(const send_update& request) {
+    const auto found = this->connections.find(request.subscriber);
+    if (found != this->connections.end()) {
+        this->send_control(*found->second.connection, request.update);
+    }
+}
+
+void peer_server_task::handle(const return_key_report& request) {
+    const auto found = this->connections.find(request.connection);
+    if (found != this->connections.end()) {
+        this->send_control(*found->second.connection, request.reply);
+    }
+}
+
+void peer_server_task::on_accepted(std::shared_ptr<peer_connection> connection) {
+    const auto number = ++this->accepted_count;
+    connection->listen_to({.opened = [] {},
+                           .received =
+                               [this, number](message&& received, std::size_t bytes) {
+                                   this->on_message(number, std::move(received), bytes);
+                               },
+                           .closed = [this, number](close_cause cause) { this->on_closed(number, cause); }});
+    const auto& settings = this->context->settings;
+    const hello introduction{.host = settings.host,
+                             .data_centre = settings.data_centre,
+                             .incarnation = this->context->incarnation,
+                             .peers = settings.reachable_at};
+    this->send_control(*connection, introduction);
+    this->connections.emplace(number, accepted{std::move(connection), 0, {}});
+}
+
+void peer_server_task::on_message(std::uint64_t number, message&& received, std::size_t bytes) {
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end()) {
+        return;
+    }
+    if (is_control(received)) {
+        this->context->measured->counters().control_bytes_received += bytes;
+    }
+    if (found->second.incarnation == 0 && !std::holds_alternative<hello>(received)) {
+        this->reject(number, "no introduction");
+        return;
+    }
+    auto& peer = found->second;
+    std::visit(
+        overloaded{
+            [&](const hello& item) { this->on_introduced(number, item); },
+            [&](call& item) {
+                if (item.attempt.entry != peer.incarnation) {
+                    this->reject(number, "attempt of another entry");
+                    return;
+                }
+                this->context->boxes->owner.post(std::move(item));
+            },
+            [&](const cancel& item) { this->context->boxes->owner.post(item); },
+            [&](const inquiry& item) { this->context->boxes->owner.post(item); },
+            [&](const ping& item) { this->send_control(*peer.connection, pong{item.nonce}); },
+            [&](subscription& item) {
+                this->context->boxes->control.post(peer_subscribed{number, peer.peers, std::move(item)});
+            },
+            [&](key_inquiry& item) {
+                this->context->boxes->owner.post(key_asked{number, std::move(item)});
+            },
+            [](const pong&) {}, [&](const auto&) { this->reject(number, "message of the wrong direction"); }},
+        received);
+}
+
+void peer_server_task::on_introduced(std::uint64_t number, const hello& introduced) {
+    auto& peer = this->connections.at(number);
+    peer.incarnation = introduced.incarnation;
+    peer.peers = introduced.peers;
+    this->by_incarnation[introduced.incarnation] = number;
+}
+
+void peer_server_task::on_closed(std::uint64_t number, close_cause cause) {
+    const auto found = this->connections.find(number);
+    if (found == this->connections.end()) {
+        return;
+    }
+    if (cause == close_cause::malformed_frame) {
+        ++this->context->measured->counters().malformed_frames;
+        log_event(log_level::warn, "frame_malformed", {{"peer", to_string(found->second.peers)}});
+    }
+    const auto newest = this->by_incarnation.find(found->second.incarnation);
+    if (newest != this->by_incarnation.end() && newest->second == number) {
+        this->by_incarnation.erase(newest);
+    }
+    this->connections.erase(found);
+    this->context->boxes->control.post(peer_unsubscribed{number});
+}
+
+void peer_server_task::reject(std::uint64_t number, const char* why) {
+    const auto connection = this->connections.at(number).connection;
+    log_event(log_level::warn, "peer_rejected", {{"reason", why}});
+    connection->close();
+    this->on_closed(number, close_cause::malformed_frame);
+}
+
+peer_connection* peer_server_task::newest_connection(std::uint64_t incarnation) {
+    const auto found = this->by_incarnation.find(incarnation);
+    return found == this->by_incarnation.end() ? nullptr
+                                               : this->connections.at(found->second).connection.get();
+}
+
+void peer_server_task::send_control(peer_connection& connection, const message& sent) {
+    this->context->measured->counters().control_bytes_sent += connection.send(sent);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -0,0 +1,161 @@
+// Watching and reading of the platform.
+#include "chervilturn/node/settings_reader.hpp"
+
+#include "chervilturn/observe/log.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr microseconds watch_wait = std::chrono::seconds{20};
+constexpr microseconds shortest_back_off = std::chrono::milliseconds{250};
+constexpr microseconds longest_back_off = std::chrono::seconds{4};
+constexpr microseconds pause_between_watches = std::chrono::milliseconds{50};
+constexpr std::size_t parallel_reads = 4;
+constexpr std::uint32_t max_doublings = 8;
+constexpr double jitter_low = 0.5;
+constexpr double jitter_high = 1.0;
+
+} // namespace
+
+settings_reader::settings_reader(const node_context& shared, std::unique_ptr<platform> read_from,
+                                 batch_handler receiver)
+    : context{&shared}, source{std::move(read_from)}, handler{std::move(receiver)},
+      random{shared.incarnation}, next{*shared.loop, [this] { this->watch(); }} {}
+
+void settings_reader::activate(microseconds longest_delay) {
+    if (this->running || this->source == nullptr) {
+        return;
+    }
+    this->running = true;
+    const double part = this->random.uniform(0.0, 1.0);
+    this->schedule(
+        microseconds{static_cast<std::int64_t>(part * static_cast<double>(longest_delay.count()))});
+}
+
+void settings_reader::deactivate() {
+    this->running = false;
+    ++this->round;
+    this->next.stop();
+}
+
+void settings_reader::refresh() {
+    if (this->running) {
+        ++this->round;
+        this->schedule(microseconds::zero());
+    }
+}
+
+void settings_reader::watch() {
+    const auto started = ++this->round;
+    ++this->context->measured->counters().platform_reads;
+    // The first exchange does not wait: it tells what is there and that the platform can be reached.
+    const auto wait = this->reached() ? watch_wait : microseconds::zero();
+    this->source->watch(this->complete, wait,
+                        [this, started](const result<watch_result, platform_error>& watched) {
+                            this->on_watched(started, watched);
+                        });
+}
+
+void settings_reader::on_watched(std::uint64_t of_round,
+                                 const result<watch_result, platform_error>& watched) {
+    if (of_round != this->round) {
+        return;
+    }
+    if (!succeeded(watched)) {
+        this->back_off(error_of(watched));
+        return;
+    }
+    const auto& seen = value_of(watched);
+    if (seen.revision < this->complete) {
+        log_event(log_level::warn, "platform_stale",
+                  {{"revision", seen.revision}, {"complete", this->complete}});
+    }
+    this->current = batch{.revision = seen.revision, .subtree_revisions = {}, .unread = {}, .leaves = {}};
+    for (const auto& changed : seen.changed) {
+        const auto subtree = subtree_of(changed.path);
+        if (!subtree.empty()) {
+            auto& revision = this->current.subtree_revisions[subtree];
+            revision = std::max(revision, changed.revision);
+            this->current.unread.push_back(changed.path);
+        }
+    }
+    this->reads_awaited = this->current.unread.size();
+    if (this->reads_awaited == 0) {
+        this->finish_batch();
+        return;
+    }
+    const auto parallel = std::min(parallel_reads, this->reads_awaited);
+    for (std::size_t started = 0; started < parallel; ++started) {
+        this->read_next(of_round);
+    }
+}
+
+void settings_reader::read_next(std::uint64_t of_round) {
+    if (this->current.unread.empty()) {
+        return;
+    }
+    const auto path = this->current.unread.front();
+    this->current.unread.pop_front();
+    ++this->context->measured->counters().platform_reads;
+    this->source->read(
+        path, [this, of_round](const result<leaf, platform_error>& read) { this->on_read(of_round, read); });
+}
+
+void settings_reader::on_read(std::uint64_t of_round, const result<leaf, platform_error>& read) {
+    if (of_round != this->round) {
+        return;
+    }
+    if (!succeeded(read)) {
+        this->back_off(error_of(read));
+        return;
+    }
+    this->current.leaves.push_back(value_of(read));
+    if (--this->reads_awaited == 0) {
+        this->finish_batch();
+        return;
+    }
+    this->read_next(of_round);
+}
+
+void settings_reader::finish_batch() {
+    this->failures = 0;
+    this->ever_reached = true;
+    this->complete = std::max(this->complete, this->current.revision);
+    std::map<std::string, subtree_snapshot> snapshots;
+    for (const auto& [subtree, revision] : this->current.subtree_revisions) {
+        snapshots[subtree] = {.subtree = subtree, .revision = revision, .leaves = {}};
+    }
+    for (auto& read : this->current.leaves) {
+        snapshots[subtree_of(read.path)].leaves.push_back(std::move(read));
+    }
+    std::vector<subtree_snapshot> finished;
+    finished.reserve(snapshots.size());
+    for (auto& [subtree, snapshot] : snapshots) {
+        finished.push_back(std::move(snapshot));
+    }
+    this->schedule(pause_between_watches);
+    this->handler(std::move(finished));
+}
+
+void settings_reader::back_off(const platform_error& error) {
+    ++this->round;
+    ++this->context->measured->counters().platform_failures;
+    const auto doubled = shortest_back_off * (1U << std::min(this->failures, max_doublings));
+    const auto bounded = std::min<microseconds>(doubled, longest_back_off);
+    if (this->failures == 0) {
+        log_event(log_level::warn, "platform_unreachable", {{"error", error.message}});
+    }
+    ++this->failures;
+    const double jittered =
+        static_cast<double>(bounded.count()) * this->random.uniform(jitter_low, jitter_high);
+    this->schedule(microseconds{static_cast<std::int64_t>(jittered)});
+}
+
+void settings_reader::schedule(microseconds delay) {
+    this->next.start_once(delay);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/observe/fwd.hpp
@@ -0,0 +1,11 @@
+// Names that module observe offers: structured logs and metrics.
+#pragma once
+
+namespace chervilturn {
+
+struct log_field;
+class latency_histogram;
+struct call_series;
+class metrics;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/observe/log.hpp
@@ -0,0 +1,35 @@
+// Structured logs: one line of key=value pairs for each event.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace chervilturn {
+
+enum class log_level { trace, debug, info, warn, error };
+
+/// @brief One key and value of a log line. Values are quoted and escaped where needed.
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    log_field(std::string_view name, std::string_view text) : key{name}, value{text} {}
+    log_field(std::string_view name, const char* text) : key{name}, value{text} {}
+    log_field(std::string_view name, const std::string& text) : key{name}, value{text} {}
+    template<typename Number>
+    requires std::is_arithmetic_v<Number> log_field(std::string_view name, Number number)
+        : key{name}, value{std::to_string(number)} {}
+};
+
+/// @brief Sends log lines to standard error from a level on; host marks every line.
+void start_logging(const std::string& level, const std::string& host);
+
+/// @brief Writes one event.
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+/// @brief A value as it stands in a log line: plain, or quoted with escapes.
+[[nodiscard]] std::string escape_log_value(std::string_view value);
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/observe/metrics.cpp
@@ -0,0 +1,164 @@
+// Histograms by Boost.Histogram and export of metrics.
+#include "chervilturn/observe/metrics.hpp"
+
+#include <boost/histogram.hpp>
+
+namespace chervilturn {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr unsigned bins = 98; // 14 to each factor of ten
+constexpr double lowest_micros = 10.0;
+constexpr double highest_micros = 1e8;
+constexpr unsigned exported_every = 7; // bins merged into one exported bucket
+constexpr double micros_per_second = 1e6;
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using histogram = decltype(bh::make_histogram(log_axis{}));
+
+[[nodiscard]] std::string escape_label(const std::string& value) {
+    std::string escaped;
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character == '\n' ? ' ' : character;
+    }
+    return escaped;
+}
+
+void write_sample(std::string& text, const std::string& name, const std::string& labels, double value) {
+    text += "chervilturn_" + name;
+    if (!labels.empty()) {
+        text += '{' + labels + '}';
+    }
+    const bool whole = value == static_cast<double>(static_cast<std::uint64_t>(value));
+    text += ' ' + (whole ? std::to_string(static_cast<std::uint64_t>(value)) : std::to_string(value)) + '\n';
+}
+
+void write_type(std::string& text, const std::string& name, const char* type) {
+    text += "# TYPE chervilturn_" + name + ' ' + type + '\n';
+}
+
+void write_counter(std::string& text, const std::string& name, std::uint64_t value) {
+    write_type(text, name, "counter");
+    write_sample(text, name, "", static_cast<double>(value));
+}
+
+[[nodiscard]] std::string labels_of(const series_key& key) {
+    std::string labels = "team=\"";
+    labels += escape_label(key.team);
+    labels += "\",workspace=\"";
+    labels += escape_label(key.workspace);
+    labels += "\",class=\"";
+    labels += key.urgent ? "urgent\"" : "normal\"";
+    return labels;
+}
+
+} // namespace
+
+struct latency_histogram::storage {
+    histogram values = bh::make_histogram(log_axis{bins, lowest_micros, highest_micros, "latency"});
+};
+
+latency_histogram::latency_histogram() : held{std::make_unique<storage>()} {}
+latency_histogram::latency_histogram(latency_histogram&&) noexcept = default;
+latency_histogram& latency_histogram::operator=(latency_histogram&&) noexcept = default;
+latency_histogram::~latency_histogram() = default;
+
+void latency_histogram::record(microseconds latency) {
+    this->held->values(static_cast<double>(latency.count()));
+    this->sum_seconds += to_seconds(latency);
+}
+
+std::uint64_t latency_histogram::count() const {
+    return static_cast<std::uint64_t>(bh::algorithm::sum(this->held->values));
+}
+
+microseconds latency_histogram::quantile(double fraction) const {
+    const double wanted = fraction * static_cast<double>(this->count());
+    const auto& axis = this->held->values.axis(0);
+    double below = 0.0;
+    for (int bin = -1; bin <= axis.size(); ++bin) {
+        below += this->held->values.at(bin);
+        if (below > 0.0 && below >= wanted) {
+            const int edge = std::min(bin + 1, static_cast<int>(axis.size()));
+            return microseconds{static_cast<std::int64_t>(axis.value(edge))};
+        }
+    }
+    return microseconds::zero();
+}
+
+void latency_histogram::write(std::string& text, const std::string& name, const std::string& labels) const {
+    const auto& axis = this->held->values.axis(0);
+    double below = this->held->values.at(-1);
+    for (int bin = 0; bin < axis.size(); ++bin) {
+        below += this->held->values.at(bin);
+        if ((bin + 1) % static_cast<int>(exported_every) == 0) {
+            const auto edge = std::to_string(axis.value(bin + 1) / micros_per_second);
+            write_sample(text, name + "_bucket", labels + ",le=\"" + edge + '"', below);
+        }
+    }
+    const auto total = static_cast<double>(this->count());
+    write_sample(text, name + "_bucket", labels + ",le=\"+Inf\"", total);
+    write_sample(text, name + "_count", labels, total);
+    write_sample(text, name + "_sum", labels, this->sum_seconds);
+}
+
+call_series& metrics::series(const series_key& key) {
+    const auto found = this->calls.find(key);
+    if (found != this->calls.end()) {
+        return found->second;
+    }
+    if (this->calls.size() >= max_series) {
+        return this->calls[series_key{.team = "(other)", .workspace = "(other)", .urgent = key.urgent}];
+    }
+    return this->calls[key];
+}
+
+std::string metrics::text() const {
+    std::string text;
+    write_type(text, "call_latency_seconds", "histogram");
+    for (const auto& [key, series] : this->calls) {
+        series.latency.write(text, "call_latency_seconds", labels_of(key));
+    }
+    write_type(text, "calls_total", "counter");
+    for (const auto& [key, series] : this->calls) {
+        for (std::size_t index = 0; index < series.outcomes.size(); ++index) {
+            const auto name = to_string(static_cast<outcome>(index));
+            write_sample(text, "calls_total", labels_of(key) + ",outcome=\"" + std::string{name} + '"',
+                         static_cast<double>(series.outcomes.at(index)));
+        }
+    }
+    write_type(text, "extra_attempts_total", "counter");
+    for (const auto& [key, series] : this->calls) {
+        write_sample(text, "extra_attempts_total", labels_of(key),
+                     static_cast<double>(series.extra_attempts));
+    }
+    write_type(text, "refusals_total", "counter");
+    for (std::size_t index = 1; index < reason_count; ++index) {
+        const auto name = std::string{to_string(static_cast<reason>(index))};
+        write_sample(text, "refusals_total", "reason=\"" + name + '"',
+                     static_cast<double>(this->totals.refusals.at(index)));
+    }
+    write_counter(text, "probes_total", this->totals.probes);
+    write_counter(text, "probe_bytes_total", this->totals.probe_bytes);
+    write_counter(text, "probe_microseconds_total", this->totals.probe_micros);
+    write_counter(text, "control_sent_bytes_total", this->totals.control_bytes_sent);
+    write_counter(text, "control_received_bytes_total", this->totals.control_bytes_received);
+    write_counter(text, "call_sent_bytes_total", this->totals.call_bytes_sent);
+    write_counter(text, "platform_reads_total", this->totals.platform_reads);
+    write_counter(text, "platform_failures_total", this->totals.platform_failures);
+    write_counter(text, "settings_accepted_total", this->totals.settings_accepted);
+    write_counter(text, "settings_rejected_total", this->totals.settings_rejected);
+    write_counter(text, "pauses_total", this->totals.pauses);
+    write_counter(text, "silent_connections_total", this->totals.silent_connections);
+    write_counter(text, "malformed_frames_total", this->totals.malformed_frames);
+    write_counter(text, "late_answers_total", this->totals.late_answers);
+    write_counter(text, "repeated_attempts_total", this->totals.repeated_attempts);
+    return text;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/eligibility.cpp
@@ -0,0 +1,72 @@
+// Filtering of backend servers by binding, data centre, host state and recent failures.
+#include "chervilturn/selection/eligibility.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr const char* no_region = "(none)"; // a region that no data centre has
+
+[[nodiscard]] distance distance_to(const eligibility_request& request, const backend_server& server) {
+    if (server.data_centre == request.entry_data_centre) {
+        return distance::same_data_centre;
+    }
+    const auto here = request.settings->region_of(request.entry_data_centre);
+    return request.settings->region_of(server.data_centre) == here ? distance::same_region
+                                                                   : distance::other_region;
+}
+
+} // namespace
+
+reason exclusion_of(const eligibility_request& request, const backend_server& server) {
+    const auto region = request.settings->region_of(server.data_centre);
+    if (!admits(request.regions, region) || !admits(request.target->home_regions, region)) {
+        return reason::outside_home_regions;
+    }
+    if (!request.settings->in_service(request.owner->name, server.data_centre)) {
+        return reason::data_centre_out;
+    }
+    if (request.settings->is_leaving(server.node)) {
+        return reason::host_leaving;
+    }
+    return reason::none;
+}
+
+region_set common_regions(const region_set& first, const region_set& second) {
+    if (first.empty() || second.empty()) {
+        return first.empty() ? second : first;
+    }
+    region_set common;
+    std::set_intersection(first.begin(), first.end(), second.begin(), second.end(),
+                          std::inserter(common, common.end()));
+    if (common.empty()) {
+        common.insert(no_region);
+    }
+    return common;
+}
+
+std::vector<candidate> eligible_candidates(const eligibility_request& request,
+                                           const std::vector<std::size_t>& tried, const view_lookup& view_of,
+                                           instant now) {
+    std::vector<candidate> allowed;
+    std::vector<candidate> preferred;
+    const auto& servers = request.target->backend_servers;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        if (exclusion_of(request, servers[index]) != reason::none) {
+            continue;
+        }
+        const auto& view = view_of(servers[index]);
+        const candidate found{index, distance_to(request, servers[index]), &view};
+        allowed.push_back(found);
+        const bool was_tried = std::find(tried.begin(), tried.end(), index) != tried.end();
+        if (!was_tried && !view.in_penalty(now)) {
+            preferred.push_back(found);
+        }
+    }
+    return preferred.empty() ? allowed : preferred;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/fwd.hpp
@@ -0,0 +1,11 @@
+// Names that module selection offers: what an entry knows of backend servers and how it picks one.
+#pragma once
+
+namespace chervilturn {
+
+class load_view;
+struct candidate;
+class policy;
+struct eligibility_request;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/load_view.cpp
@@ -0,0 +1,104 @@
+// Ageing of load reports and latencies.
+#include "chervilturn/selection/load_view.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr double report_half_life_seconds = 0.05; // of other entries' calls in a report
+constexpr double latency_half_life_seconds = 1.0; // of a slow spell
+constexpr double sample_weight = 0.2;
+constexpr microseconds busy_penalty = std::chrono::milliseconds{20};
+constexpr microseconds closed_penalty = std::chrono::seconds{1};
+constexpr microseconds silence_penalty = std::chrono::milliseconds{500};
+constexpr std::uint32_t max_doublings = 4;
+
+[[nodiscard]] microseconds penalty_for(reason why) noexcept {
+    switch (why) {
+    case reason::shutting_down:
+    case reason::data_centre_out:
+    case reason::host_leaving:
+    case reason::not_the_owner:
+    case reason::beliefs_unconfirmed:
+    case reason::backend_unreachable:
+    case reason::backend_draining:
+        return closed_penalty;
+    case reason::queue_full:
+    case reason::backend_shed:
+    case reason::deadline_too_near:
+        return busy_penalty;
+    default:
+        return microseconds::zero();
+    }
+}
+
+[[nodiscard]] double decay(double half_life_seconds, instant since, instant now) noexcept {
+    return std::exp2(-std::max(0.0, to_seconds(now - since)) / half_life_seconds);
+}
+
+} // namespace
+
+load_view::load_view(std::uint32_t configured_slots) noexcept : slots{configured_slots} {
+    this->report.limit = configured_slots;
+}
+
+void load_view::on_sent(instant) noexcept {
+    ++this->own;
+}
+
+void load_view::on_answer(const answer& ended, microseconds sample, instant now) noexcept {
+    this->count_end();
+    this->report = ended.load;
+    this->own_at_report = this->own;
+    this->reported_at = now;
+    this->silences = 0;
+    if (ended.result == outcome::completed) {
+        this->learn_latency(sample, now);
+        return;
+    }
+    this->penalty_until = now + penalty_for(ended.why);
+}
+
+void load_view::on_silence(instant now) noexcept {
+    this->count_end();
+    this->penalty_until = now + silence_penalty * (1U << std::min(this->silences, max_doublings));
+    ++this->silences;
+}
+
+void load_view::on_given_up(microseconds waited, instant now) noexcept {
+    this->count_end();
+    if (waited > this->latency(now)) {
+        this->learn_latency(waited, now);
+    }
+}
+
+void load_view::count_end() noexcept {
+    this->own -= std::min(1U, this->own);
+}
+
+double load_view::estimated_calls(instant now) const noexcept {
+    const double reported_others =
+        std::max(0.0, static_cast<double>(this->reported()) - static_cast<double>(this->own_at_report));
+    return this->own + reported_others * decay(report_half_life_seconds, this->reported_at, now);
+}
+
+double load_view::limit(instant) const noexcept {
+    return std::max(1.0, static_cast<double>(std::min(this->report.limit, this->slots)));
+}
+
+microseconds load_view::latency(instant now) const noexcept {
+    const double aged = this->latency_micros * decay(latency_half_life_seconds, this->latency_at, now);
+    return microseconds{static_cast<std::int64_t>(aged)};
+}
+
+void load_view::learn_latency(microseconds sample, instant now) noexcept {
+    const auto micros = static_cast<double>(sample.count());
+    const auto held = static_cast<double>(this->latency(now).count());
+    this->latency_micros = micros > held ? micros : held + sample_weight * (micros - held);
+    this->latency_at = now;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/load_view.hpp
@@ -0,0 +1,60 @@
+// What one entry knows about one backend server: the last report, aged, and the entry's own calls.
+#pragma once
+
+#include "chervilturn/call/call.hpp"
+#include "chervilturn/core/time.hpp"
+
+namespace chervilturn {
+
+/// @brief Knowledge of one backend server at one entry.
+class load_view {
+  public:
+    explicit load_view(std::uint32_t slots) noexcept;
+
+    void on_sent(instant now) noexcept;
+
+    /// @brief An attempt ended; reports and latency come with owners' answers only.
+    void on_answer(const answer& ended, microseconds latency, instant now) noexcept;
+
+    /// @brief An attempt ended without a word from the owner.
+    void on_silence(instant now) noexcept;
+
+    /// @brief An attempt was given up after a time in which no answer came.
+    void on_given_up(microseconds waited, instant now) noexcept;
+
+    /// @brief Own calls in progress.
+    [[nodiscard]] std::uint32_t outstanding() const noexcept { return this->own; }
+
+    /// @brief Calls that the last report counted.
+    [[nodiscard]] std::uint32_t reported() const noexcept {
+        return this->report.in_use + this->report.queued;
+    }
+
+    /// @brief Estimated calls at the backend server: own ones, and those of others by the aged report.
+    [[nodiscard]] double estimated_calls(instant now) const noexcept;
+
+    /// @brief Calls that the backend server bears at once, by the last report.
+    [[nodiscard]] double limit(instant now) const noexcept;
+
+    /// @brief Smoothed latency; it forgets a slow spell with time, so that the server is tried again.
+    [[nodiscard]] microseconds latency(instant now) const noexcept;
+
+    /// @brief Whether the server recently refused or fell silent and should be passed over for a moment.
+    [[nodiscard]] bool in_penalty(instant now) const noexcept { return now < this->penalty_until; }
+
+  private:
+    void count_end() noexcept;
+    void learn_latency(microseconds sample, instant now) noexcept;
+
+    std::uint32_t slots;
+    std::uint32_t own = 0;
+    load_report report;
+    std::uint32_t own_at_report = 0; // own calls in progress when the report arrived
+    instant reported_at{};
+    double latency_micros = 0.0; // smoothed; 0 before the first answer
+    instant latency_at{};
+    instant penalty_until{};
+    std::uint32_t silences = 0; // in a row
+};
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/policy.cpp
@@ -0,0 +1,115 @@
+// The selection policies.
+#include "chervilturn/selection/policy.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::size_t load_aware_choices = 3;
+
+struct score {
+    double expected_micros; // time to an answer if the call were sent now
+    bool free_slot;
+};
+
+[[nodiscard]] score score_of(const candidate& rated, instant now) {
+    const double calls = rated.view->estimated_calls(now);
+    const double limit = rated.view->limit(now);
+    const double latency = std::max(1.0, static_cast<double>(rated.view->latency(now).count()));
+    const double load = (calls + 1.0) / limit;
+    return {latency * std::max(1.0, load) + load, calls + 1.0 <= limit && !rated.view->in_penalty(now)};
+}
+
+[[nodiscard]] bool better(const score& left, const score& right) {
+    if (left.free_slot != right.free_slot) {
+        return left.free_slot;
+    }
+    return left.expected_micros < right.expected_micros;
+}
+
+[[nodiscard]] std::size_t best_of_sample(std::span<const candidate> candidates,
+                                         std::vector<std::size_t>& positions, random_source& random,
+                                         instant now) {
+    const auto sample = std::min(load_aware_choices, positions.size());
+    std::size_t best = 0;
+    std::optional<score> best_score;
+    for (std::size_t drawn = 0; drawn < sample; ++drawn) {
+        std::swap(positions[drawn], positions[drawn + random.index(positions.size() - drawn)]);
+        const auto rated = score_of(candidates[positions[drawn]], now);
+        if (!best_score || better(rated, *best_score)) {
+            best = positions[drawn];
+            best_score = rated;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::size_t uniform_random::pick(std::span<const candidate> candidates, random_source& random, instant) {
+    return random.index(candidates.size());
+}
+
+std::size_t round_robin::pick(std::span<const candidate> candidates, random_source&, instant) {
+    return this->turn++ % candidates.size();
+}
+
+std::size_t least_outstanding::pick(std::span<const candidate> candidates, random_source& random, instant) {
+    std::size_t best = random.index(candidates.size());
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        if (candidates[position].view->outstanding() < candidates[best].view->outstanding()) {
+            best = position;
+        }
+    }
+    return best;
+}
+
+std::size_t two_choices::pick(std::span<const candidate> candidates, random_source& random, instant) {
+    const auto first = random.index(candidates.size());
+    const auto second = random.index(candidates.size());
+    return candidates[second].view->reported() < candidates[first].view->reported() ? second : first;
+}
+
+std::size_t load_aware::pick(std::span<const candidate> candidates, random_source& random, instant now) {
+    std::vector<std::size_t> positions;
+    for (const auto away : {distance::same_data_centre, distance::same_region, distance::other_region}) {
+        positions.clear();
+        for (std::size_t position = 0; position < candidates.size(); ++position) {
+            if (candidates[position].away == away && score_of(candidates[position], now).free_slot) {
+                positions.push_back(position);
+            }
+        }
+        if (!positions.empty()) {
+            return best_of_sample(candidates, positions, random, now);
+        }
+    }
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        positions.push_back(position);
+    }
+    return best_of_sample(candidates, positions, random, now);
+}
+
+std::unique_ptr<policy> make_policy(std::string_view name) {
+    if (name == "uniform_random") {
+        return std::make_unique<uniform_random>();
+    }
+    if (name == "round_robin") {
+        return std::make_unique<round_robin>();
+    }
+    if (name == "least_outstanding") {
+        return std::make_unique<least_outstanding>();
+    }
+    if (name == "two_choices") {
+        return std::make_unique<two_choices>();
+    }
+    if (name == "load_aware") {
+        return std::make_unique<load_aware>();
+    }
+    return nullptr;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/selection/policy.hpp
@@ -0,0 +1,82 @@
+// Selection policies behind one interface, the baselines and the default among them.
+#pragma once
+
+#include "chervilturn/core/random.hpp"
+#include "chervilturn/selection/load_view.hpp"
+
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace chervilturn {
+
+/// @brief How far a backend server is from the entry.
+enum class distance : std::uint8_t { same_data_centre, same_region, other_region };
+
+/// @brief A backend server that may take the call.
+struct candidate {
+    std::size_t index = 0; // within the service's backend servers
+    distance away = distance::same_data_centre;
+    const load_view* view = nullptr;
+};
+
+/// @brief Picks one of several candidates.
+class policy {
+  public:
+    policy() = default;
+    policy(const policy&) = delete;
+    policy& operator=(const policy&) = delete;
+    virtual ~policy() = default;
+
+    /// @brief The position of the chosen candidate; candidates is never empty.
+    [[nodiscard]] virtual std::size_t pick(std::span<const candidate> candidates, random_source& random,
+                                           instant now) = 0;
+
+    [[nodiscard]] virtual std::string_view name() const noexcept = 0;
+};
+
+/// @brief Every candidate with the same chance.
+class uniform_random final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    [[nodiscard]] std::string_view name() const noexcept override { return "uniform_random"; }
+};
+
+/// @brief One candidate after the other.
+class round_robin final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    [[nodiscard]] std::string_view name() const noexcept override { return "round_robin"; }
+
+  private:
+    std::size_t turn = 0;
+};
+
+/// @brief The candidate with the fewest of this entry's own calls.
+class least_outstanding final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    [[nodiscard]] std::string_view name() const noexcept override { return "least_outstanding"; }
+};
+
+/// @brief The better of two random candidates by the last report alone.
+class two_choices final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    [[nodiscard]] std::string_view name() const noexcept override { return "two_choices"; }
+};
+
+/// @brief The better of a few random candidates by expected time: aged report, own calls and latency.
+///
+/// Nearer candidates win as long as one of them has a free slot; candidates in another region are used
+/// only when no nearer one has.
+class load_aware final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    [[nodiscard]] std::string_view name() const noexcept override { return "load_aware"; }
+};
+
+/// @brief Creates a policy by its settings name; null for an unknown name.
+[[nodiscard]] std::unique_ptr<policy> make_policy(std::string_view name);
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/transport/codec.cpp
@@ -0,0 +1,342 @@
+// Translation between messages and Cap'n Proto frames.
+#include "chervilturn/transport/codec.hpp"
+
+#include "chervilturn/transport/wire.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+#include <kj/exception.h>
+#include <optional>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::size_t max_traversal_words = max_frame_bytes / sizeof(capnp::word) * 2;
+constexpr int max_nesting = 16;
+constexpr std::size_t max_headers = 256;
+
+[[nodiscard]] capnp::Text::Reader to_text(const std::string& value) {
+    return {value.c_str(), value.size()};
+}
+
+[[nodiscard]] std::string from_text(capnp::Text::Reader value) {
+    return {value.begin(), value.size()};
+}
+
+[[nodiscard]] capnp::Data::Reader to_data(const std::string& value) {
+    return {reinterpret_cast<const capnp::byte*>(value.data()), value.size()};
+}
+
+[[nodiscard]] std::string from_data(capnp::Data::Reader value) {
+    return {reinterpret_cast<const char*>(value.begin()), value.size()};
+}
+
+void write_attempt(wire::AttemptId::Builder target, const attempt_id& attempt) {
+    target.setEntry(attempt.entry);
+    target.setSequence(attempt.sequence);
+}
+
+[[nodiscard]] attempt_id read_attempt(wire::AttemptId::Reader source) {
+    return {.entry = source.getEntry(), .sequence = source.getSequence()};
+}
+
+void write_headers(capnp::List<wire::Header>::Builder target, const std::vector<header>& headers) {
+    for (std::size_t index = 0; index < headers.size(); ++index) {
+        auto item = target[static_cast<unsigned>(index)];
+        item.setName(to_text(headers[index].name));
+        item.setValue(to_text(headers[index].value));
+    }
+}
+
+[[nodiscard]] std::vector<header> read_headers(capnp::List<wire::Header>::Reader source) {
+    std::vector<header> headers;
+    for (const auto item : source) {
+        if (headers.size() == max_headers) {
+            break;
+        }
+        headers.push_back({from_text(item.getName()), from_text(item.getValue())});
+    }
+    return headers;
+}
+
+void write_digest(wire::Digest::Builder target, const subscription& sent) {
+    const auto& known = sent.known;
+    target.setNonce(sent.nonce);
+    target.setFollow(sent.follow);
+    auto list = target.initSubtrees(static_cast<unsigned>(known.size()));
+    for (std::size_t index = 0; index < known.size(); ++index) {
+        auto item = list[static_cast<unsigned>(index)];
+        item.setSubtree(to_text(known[index].subtree));
+        item.setRevision(known[index].revision);
+    }
+}
+
+[[nodiscard]] subscription read_digest(wire::Digest::Reader source) {
+    subscription received{.known = {}, .nonce = source.getNonce(), .follow = source.getFollow()};
+    for (const auto item : source.getSubtrees()) {
+        received.known.push_back({from_text(item.getSubtree()), item.getRevision()});
+    }
+    return received;
+}
+
+void write_snapshot(wire::SubtreeUpdate::Builder target, const subtree_snapshot& snapshot) {
+    target.setSubtree(to_text(snapshot.subtree));
+    target.setRevision(snapshot.revision);
+    auto list = target.initLeaves(static_cast<unsigned>(snapshot.leaves.size()));
+    for (std::size_t index = 0; index < snapshot.leaves.size(); ++index) {
+        auto item = list[static_cast<unsigned>(index)];
+        item.setPath(to_text(snapshot.leaves[index].path));
+        item.setRevision(snapshot.leaves[index].revision);
+        item.setRemoved(snapshot.leaves[index].removed);
+        item.setValue(to_text(snapshot.leaves[index].value));
+    }
+}
+
+[[nodiscard]] subtree_snapshot read_snapshot(wire::SubtreeUpdate::Reader source) {
+    subtree_snapshot snapshot{
+        .subtree = from_text(source.getSubtree()), .revision = source.getRevision(), .leaves = {}};
+    for (const auto item : source.getLeaves()) {
+        snapshot.leaves.push_back({.path = from_text(item.getPath()),
+                                   .revision = item.getRevision(),
+                                   .removed = item.getRemoved(),
+                                   .value = from_text(item.getValue())});
+    }
+    return snapshot;
+}
+
+void write_call(wire::Call::Builder target, const call& sent) {
+    write_attempt(target.initAttempt(), sent.attempt);
+    target.setTeam(to_text(sent.team));
+    target.setWorkspace(to_text(sent.workspace));
+    target.setService(to_text(sent.service));
+    target.setRoute(to_text(sent.route));
+    target.setUrgent(sent.urgent);
+    target.setIdempotent(sent.idempotent);
+    target.setRemainingMicros(static_cast<std::uint64_t>(std::max<std::int64_t>(0, sent.remaining.count())));
+    target.setExtraAttempts(sent.extra_attempts);
+    target.setDepth(sent.depth);
+    target.setKey(to_text(sent.key.text));
+    target.setKeyCreatedMillis(sent.key.created.time_since_epoch().count());
+    target.setMethod(to_text(sent.method));
+    target.setTarget(to_text(sent.target));
+    write_headers(target.initHeaders(static_cast<unsigned>(sent.headers.size())), sent.headers);
+    target.setBody(to_data(sent.body));
+}
+
+[[nodiscard]] call read_call(wire::Call::Reader source) {
+    constexpr std::uint64_t longest = 86'400'000'000; // microseconds in a day
+    call received;
+    received.attempt = read_attempt(source.getAttempt());
+    received.team = from_text(source.getTeam());
+    received.workspace = from_text(source.getWorkspace());
+    received.service = from_text(source.getService());
+    received.route = from_text(source.getRoute());
+    received.urgent = source.getUrgent();
+    received.idempotent = source.getIdempotent();
+    received.remaining =
+        microseconds{static_cast<std::int64_t>(std::min(longest, source.getRemainingMicros()))};
+    received.extra_attempts = source.getExtraAttempts();
+    received.depth = source.getDepth();
+    received.key.text = from_text(source.getKey());
+    received.key.created = wall_time{std::chrono::milliseconds{source.getKeyCreatedMillis()}};
+    received.method = from_text(source.getMethod());
+    received.target = from_text(source.getTarget());
+    received.headers = read_headers(source.getHeaders());
+    received.body = from_data(source.getBody());
+    return received;
+}
+
+void write_answer(wire::Answer::Builder target, const answer& sent) {
+    write_attempt(target.initAttempt(), sent.attempt);
+    target.setOutcome(static_cast<std::uint16_t>(sent.result));
+    target.setReason(static_cast<std::uint16_t>(sent.why));
+    target.setStatus(sent.status);
+    write_headers(target.initHeaders(static_cast<unsigned>(sent.headers.size())), sent.headers);
+    target.setBody(to_data(sent.body));
+    auto load = target.initLoad();
+    load.setInUse(sent.load.in_use);
+    load.setQueued(sent.load.queued);
+    load.setLimit(sent.load.limit);
+    target.setServiceMicros(static_cast<std::uint64_t>(sent.service_time.count()));
+    target.setBackendServer(to_text(sent.backend_server));
+    target.setOwnerHost(to_text(sent.owner_host));
+}
+
+[[nodiscard]] result<answer, codec_error> read_answer(wire::Answer::Reader source) {
+    if (source.getOutcome() > static_cast<std::uint16_t>(outcome::unknown) ||
+        source.getReason() >= reason_count) {
+        return codec_error{"answer with an unknown outcome or reason"};
+    }
+    answer received;
+    received.attempt = read_attempt(source.getAttempt());
+    received.result = static_cast<outcome>(source.getOutcome());
+    received.why = static_cast<reason>(source.getReason());
+    received.status = source.getStatus();
+    received.headers = read_headers(source.getHeaders());
+    received.body = from_data(source.getBody());
+    received.load = {.in_use = source.getLoad().getInUse(),
+                     .queued = source.getLoad().getQueued(),
+                     .limit = source.getLoad().getLimit()};
+    received.service_time = microseconds{static_cast<std::int64_t>(source.getServiceMicros())};
+    received.backend_server = from_text(source.getBackendServer());
+    received.owner_host = from_text(source.getOwnerHost());
+    return received;
+}
+
+[[nodiscard]] result<message, codec_error> read_hello(wire::Hello::Reader source) {
+    const auto peers = parse_address(from_text(source.getPeerAddress()));
+    if (source.getProtocol() != protocol_version || !peers) {
+        return codec_error{"hello of another protocol version or without an address"};
+    }
+    return message{hello{.host = from_text(source.getHost()),
+                         .data_centre = from_text(source.getDataCentre()),
+                         .incarnation = source.getIncarnation(),
+                         .peers = *peers}};
+}
+
+void write_key_inquiry(wire::KeyInquiry::Builder target, const key_inquiry& sent) {
+    target.setNumber(sent.number);
+    target.setKey(to_text(sent.key.text));
+    target.setCreatedMillis(sent.key.created.time_since_epoch().count());
+    target.setHome(to_text(to_string(sent.home)));
+}
+
+[[nodiscard]] result<message, codec_error> read_key_inquiry(wire::KeyInquiry::Reader source) {
+    const auto home = parse_address(from_text(source.getHome()));
+    if (!home) {
+        return codec_error{"key inquiry without an address"};
+    }
+    const wall_time created{std::chrono::milliseconds{source.getCreatedMillis()}};
+    return message{key_inquiry{.number = source.getNumber(),
+                               .key = {.text = from_text(source.getKey()), .created = created},
+                               .home = *home}};
+}
+
+void write_key_reply(wire::KeyReport::Builder target, const key_inquiry_reply& sent) {
+    target.setNumber(sent.number);
+    target.setFinding(static_cast<std::uint16_t>(sent.report.finding));
+    write_answer(target.initAnswer(), sent.report.kept);
+}
+
+[[nodiscard]] result<message, codec_error> read_key_reply(wire::KeyReport::Reader source) {
+    auto kept = read_answer(source.getAnswer());
+    if (!succeeded(kept) || source.getFinding() > static_cast<std::uint16_t>(key_finding::unreachable)) {
+        return codec_error{"key report with an unknown finding"};
+    }
+    return message{key_inquiry_reply{
+        .number = source.getNumber(),
+        .report = {static_cast<key_finding>(source.getFinding()), value_of(std::move(kept))}}};
+}
+
+[[nodiscard]] settings_update read_update(wire::Update::Reader source) {
+    settings_update update{.subtrees = {}, .nonce = source.getNonce()};
+    for (const auto item : source.getSubtrees()) {
+        update.subtrees.push_back(read_snapshot(item));
+    }
+    return update;
+}
+
+void write_message(wire::Frame::Builder frame, const message& sent) {
+    std::visit(
+        overloaded{[&](const hello& item) {
+                       auto target = frame.initHello();
+                       target.setProtocol(protocol_version);
+                       target.setHost(to_text(item.host));
+                       target.setDataCentre(to_text(item.data_centre));
+                       target.setIncarnation(item.incarnation);
+                       target.setPeerAddress(to_text(to_string(item.peers)));
+                   },
+                   [&](const call& item) { write_call(frame.initCall(), item); },
+                   [&](const answer& item) { write_answer(frame.initAnswer(), item); },
+                   [&](const cancel& item) { write_attempt(frame.initCancel(), item.attempt); },
+                   [&](const inquiry& item) { write_attempt(frame.initInquire(), item.attempt); },
+                   [&](const pending& item) { write_attempt(frame.initPending(), item.attempt); },
+                   [&](const ping& item) { frame.setPing(item.nonce); },
+                   [&](const pong& item) { frame.setPong(item.nonce); },
+                   [&](const key_inquiry& item) { write_key_inquiry(frame.initKeyInquiry(), item); },
+                   [&](const key_inquiry_reply& item) { write_key_reply(frame.initKeyReport(), item); },
+                   [&](const subscription& item) { write_digest(frame.initSubscribe(), item); },
+                   [&](const settings_update& item) {
+                       auto target = frame.initUpdate();
+                       target.setNonce(item.nonce);
+                       auto list = target.initSubtrees(static_cast<unsigned>(item.subtrees.size()));
+                       for (std::size_t index = 0; index < item.subtrees.size(); ++index) {
+                           write_snapshot(list[static_cast<unsigned>(index)], item.subtrees[index]);
+                       }
+                   }},
+        sent);
+}
+
+[[nodiscard]] result<message, codec_error> read_message(wire::Frame::Reader frame) {
+    switch (frame.which()) {
+    case wire::Frame::HELLO:
+        return read_hello(frame.getHello());
+    case wire::Frame::CALL:
+        return message{read_call(frame.getCall())};
+    case wire::Frame::ANSWER: {
+        auto received = read_answer(frame.getAnswer());
+        if (!succeeded(received)) {
+            return error_of(received);
+        }
+        return message{value_of(std::move(received))};
+    }
+    case wire::Frame::CANCEL:
+        return message{cancel{read_attempt(frame.getCancel())}};
+    case wire::Frame::INQUIRE:
+        return message{inquiry{read_attempt(frame.getInquire())}};
+    case wire::Frame::PENDING:
+        return message{pending{read_attempt(frame.getPending())}};
+    case wire::Frame::PING:
+        return message{ping{frame.getPing()}};
+    case wire::Frame::PONG:
+        return message{pong{frame.getPong()}};
+    case wire::Frame::SUBSCRIBE:
+        return message{read_digest(frame.getSubscribe())};
+    case wire::Frame::UPDATE:
+        return message{read_update(frame.getUpdate())};
+    case wire::Frame::KEY_INQUIRY:
+        return read_key_inquiry(frame.getKeyInquiry());
+    case wire::Frame::KEY_REPORT:
+        return read_key_reply(frame.getKeyReport());
+    }
+    return codec_error{"frame of an unknown kind"};
+}
+
+} // namespace
+
+std::string encode(const message& sent) {
+    capnp::MallocMessageBuilder builder;
+    write_message(builder.initRoot<wire::Frame>(), sent);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asBytes();
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    std::string frame(frame_header_bytes + bytes.size(), '\0');
+    std::memcpy(frame.data(), &length, frame_header_bytes);
+    std::memcpy(frame.data() + frame_header_bytes, bytes.begin(), bytes.size());
+    return frame;
+}
+
+result<message, codec_error> decode(std::span<const std::byte> frame) {
+    const auto word_count = frame.size() / sizeof(capnp::word);
+    if (frame.size() % sizeof(capnp::word) != 0 || word_count == 0) {
+        return codec_error{"frame is not a whole number of words"};
+    }
+    auto words = kj::heapArray<capnp::word>(word_count);
+    std::memcpy(words.begin(), frame.data(), frame.size());
+    std::optional<result<message, codec_error>> decoded;
+    const auto failure = kj::runCatchingExceptions([&] {
+        const capnp::ReaderOptions limits{.traversalLimitInWords = max_traversal_words,
+                                          .nestingLimit = max_nesting};
+        capnp::FlatArrayMessageReader reader{words, limits};
+        decoded = read_message(reader.getRoot<wire::Frame>());
+    });
+    KJ_IF_MAYBE (problem, failure) {
+        return codec_error{std::string{problem->getDescription().cStr()}};
+    }
+    return std::move(*decoded);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/transport/event_loop.cpp
@@ -0,0 +1,117 @@
+// Event loop and timers on libevent.
+#include "chervilturn/transport/event_loop.hpp"
+
+#include <event2/event.h>
+#include <new>
+
+namespace chervilturn {
+
+namespace internal {
+
+void event_deleter::operator()(event* held) const noexcept {
+    event_free(held);
+}
+
+void event_base_deleter::operator()(event_base* held) const noexcept {
+    event_base_free(held);
+}
+
+} // namespace internal
+
+namespace {
+
+[[nodiscard]] timeval to_timeval(microseconds span) {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(span);
+    return {.tv_sec = seconds.count(), .tv_usec = (span - seconds).count()};
+}
+
+[[nodiscard]] event_base* make_base() {
+    auto* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto* base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (base == nullptr) {
+        throw std::bad_alloc{};
+    }
+    return base;
+}
+
+[[nodiscard]] internal::event_handle checked(event* made) {
+    if (made == nullptr) {
+        throw std::bad_alloc{};
+    }
+    return internal::event_handle{made};
+}
+
+} // namespace
+
+struct event_loop::signal_watch {
+    std::function<void()> handler;
+    internal::event_handle handle;
+};
+
+event_loop::event_loop() : held{make_base()} {}
+
+void event_loop::run() {
+    event_base_loop(this->held.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::stop() noexcept {
+    event_base_loopbreak(this->held.get());
+}
+
+void event_loop::on_signal(int number, std::function<void()> handler) {
+    auto watch = std::make_shared<signal_watch>();
+    watch->handler = std::move(handler);
+    const auto fire = [](evutil_socket_t, short, void* self) { static_cast<signal_watch*>(self)->handler(); };
+    watch->handle = checked(evsignal_new(this->held.get(), number, fire, watch.get()));
+    event_add(watch->handle.get(), nullptr);
+    this->signals.push_back(std::move(watch));
+}
+
+timer::timer(event_loop& loop, std::function<void()> receiver)
+    : handler{std::make_shared<const std::function<void()>>(std::move(receiver))} {
+    const auto fire = [](evutil_socket_t, short, void* self) {
+        auto& fired = *static_cast<timer*>(self);
+        if (fired.period > microseconds::zero()) {
+            fired.arm(fired.period);
+        }
+        const auto running = fired.handler; // the handler may destroy the timer
+        (*running)();
+    };
+    this->handle = checked(evtimer_new(loop.base(), fire, this));
+}
+
+timer::~timer() = default;
+
+void timer::start_once(microseconds delay) {
+    this->period = microseconds::zero();
+    this->arm(delay);
+}
+
+void timer::start_periodic(microseconds every) {
+    this->period = every;
+    this->arm(every);
+}
+
+void timer::stop() noexcept {
+    event_del(this->handle.get());
+}
+
+void timer::arm(microseconds delay) {
+    const auto span = to_timeval(delay);
+    evtimer_add(this->handle.get(), &span);
+}
+
+wake_up::wake_up(event_loop& loop, std::function<void()> receiver) : handler{std::move(receiver)} {
+    const auto fire = [](evutil_socket_t, short, void* self) { static_cast<wake_up*>(self)->handler(); };
+    this->handle = checked(event_new(loop.base(), -1, EV_PERSIST, fire, this));
+}
+
+wake_up::~wake_up() = default;
+
+void wake_up::signal() noexcept {
+    event_active(this->handle.get(), EV_READ, 0);
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/transport/fwd.hpp
@@ -0,0 +1,16 @@
+// Names that module transport offers: the event loop, mailboxes, peer connections and HTTP.
+#pragma once
+
+namespace chervilturn {
+
+class event_loop;
+class timer;
+template<typename Message> class mailbox;
+struct transport_error;
+class peer_connection;
+class peer_listener;
+class http_server;
+class http_exchange;
+class http_client;
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/transport/peer_connection.cpp
@@ -0,0 +1,166 @@
+// Framing over libevent's buffered sockets.
+#include "chervilturn/transport/peer_connection.hpp"
+
+#include "chervilturn/transport/socket_address.hpp"
+
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <new>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::size_t max_backlog_bytes = 96ULL << 20; // unsent bytes on one connection
+
+void disable_delay(evutil_socket_t socket) {
+    const int enabled = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+[[nodiscard]] bufferevent* make_stream(event_loop& loop, int socket) {
+    auto* made = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (made == nullptr) {
+        throw std::bad_alloc{};
+    }
+    return made;
+}
+
+} // namespace
+
+peer_connection::peer_connection(bufferevent* made) : stream{made} {
+    const auto readable = [](bufferevent*, void* self) {
+        static_cast<peer_connection*>(self)->on_readable();
+    };
+    const auto happened = [](bufferevent*, short what, void* self) {
+        static_cast<peer_connection*>(self)->on_event(what);
+    };
+    bufferevent_setcb(made, readable, nullptr, happened, this);
+    bufferevent_enable(made, EV_READ | EV_WRITE);
+}
+
+peer_connection::~peer_connection() {
+    this->close();
+}
+
+std::shared_ptr<peer_connection> peer_connection::open(event_loop& loop, const address& peer) {
+    std::shared_ptr<peer_connection> made{new peer_connection{make_stream(loop, -1)}};
+    const auto target = internal::to_socket_address(peer);
+    bufferevent_socket_connect(made->stream, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    return made;
+}
+
+std::shared_ptr<peer_connection> peer_connection::accept(event_loop& loop, int socket) {
+    disable_delay(socket);
+    std::shared_ptr<peer_connection> made{new peer_connection{make_stream(loop, socket)}};
+    made->connected = true;
+    return made;
+}
+
+std::size_t peer_connection::send(const message& sent) {
+    if (this->stream == nullptr) {
+        return 0;
+    }
+    const auto frame = encode(sent);
+    if (evbuffer_get_length(bufferevent_get_output(this->stream)) + frame.size() > max_backlog_bytes) {
+        return 0;
+    }
+    return bufferevent_write(this->stream, frame.data(), frame.size()) == 0 ? frame.size() : 0;
+}
+
+std::size_t peer_connection::backlog() const noexcept {
+    return this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
+void peer_connection::close() noexcept {
+    if (this->stream == nullptr) {
+        return;
+    }
+    bufferevent_free(this->stream);
+    this->stream = nullptr;
+}
+
+void peer_connection::on_readable() {
+    const auto guard = this->shared_from_this();
+    while (this->stream != nullptr && this->deliver_frame()) {
+    }
+}
+
+bool peer_connection::deliver_frame() {
+    auto* input = bufferevent_get_input(this->stream);
+    std::uint32_t length = 0;
+    if (evbuffer_copyout(input, &length, frame_header_bytes) < static_cast<ev_ssize_t>(frame_header_bytes)) {
+        return false;
+    }
+    if (length > max_frame_bytes) {
+        this->fail(close_cause::malformed_frame);
+        return false;
+    }
+    const auto total = frame_header_bytes + length;
+    if (evbuffer_get_length(input) < total) {
+        return false;
+    }
+    const auto* bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(total));
+    auto decoded = decode(std::as_bytes(std::span{bytes + frame_header_bytes, length}));
+    evbuffer_drain(input, total);
+    if (!succeeded(decoded)) {
+        this->fail(close_cause::malformed_frame);
+        return false;
+    }
+    this->events.received(value_of(std::move(decoded)), total);
+    return true;
+}
+
+void peer_connection::on_event(short what) {
+    const auto guard = this->shared_from_this();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        this->connected = true;
+        disable_delay(bufferevent_getfd(this->stream));
+        if (this->events.opened) {
+            this->events.opened();
+        }
+        return;
+    }
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        this->fail(this->connected ? close_cause::ended_by_peer : close_cause::refused);
+    }
+}
+
+void peer_connection::fail(close_cause cause) {
+    this->close();
+    if (this->events.closed) {
+        this->events.closed(cause);
+    }
+}
+
+peer_listener::peer_listener(event_loop& used, accept_handler receiver)
+    : loop{&used}, handler{std::move(receiver)} {}
+
+peer_listener::~peer_listener() {
+    if (this->socket != nullptr) {
+        evconnlistener_free(this->socket);
+    }
+}
+
+result<std::unique_ptr<peer_listener>, transport_error>
+peer_listener::listen(event_loop& loop, const address& where, accept_handler handler) {
+    constexpr int backlog = 512;
+    std::unique_ptr<peer_listener> made{new peer_listener{loop, std::move(handler)}};
+    const auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+        auto& listener = *static_cast<peer_listener*>(self);
+        listener.handler(peer_connection::accept(*listener.loop, socket));
+    };
+    const auto target = internal::to_socket_address(where);
+    made->socket = evconnlistener_new_bind(
+        loop.base(), accepted, made.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    if (made->socket == nullptr) {
+        return transport_error{"cannot listen on " + to_string(where) + ": " + std::strerror(errno)};
+    }
+    return made;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/test/chervilturn/core/state_chart_test.cpp
@@ -0,0 +1,54 @@
+// State charts: every chart of the build is valid and every transition does what its file says.
+#include "chervilturn/admission/warm_up.hpp"
+#include "chervilturn/membership/connection_health.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace chervilturn {
+
+namespace {
+
+template<typename State, typename Event> void walk_every_transition(const state_chart<State, Event>& chart) {
+    constexpr auto states = enumeration_names<State>::names.size();
+    constexpr auto events = enumeration_names<Event>::names.size();
+    std::size_t handled = 0;
+    for (std::size_t state = 0; state < states; ++state) {
+        for (std::size_t event = 0; event < events; ++event) {
+            handled += chart.next(static_cast<State>(state), static_cast<Event>(event)).has_value() ? 1 : 0;
+        }
+    }
+    CHECK(handled == chart.transitions().size());
+    for (const auto& step : chart.transitions()) {
+        CHECK(chart.next(step.from, step.event) == step.to);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a chart file becomes a chart") {
+    SECTION("the backend server's chart covers its transitions") {
+        walk_every_transition(default_backend_chart());
+    }
+    SECTION("the connection's chart covers its transitions") {
+        walk_every_transition(default_connection_chart());
+    }
+    SECTION("a machine follows the chart and ignores events that its state does not handle") {
+        connection_machine machine{default_connection_chart()};
+        CHECK(machine.state() == connection_state::connecting);
+        CHECK_FALSE(machine.apply(connection_event::overdue));
+        CHECK(machine.apply(connection_event::connected));
+        CHECK(machine.apply(connection_event::overdue));
+        CHECK(machine.state() == connection_state::suspect);
+    }
+    SECTION("an unknown name is an error that names the transition") {
+        const auto parsed = connection_chart::parse(
+            R"({"initial": "connecting", "transitions": [{"from": "connecting", "event": "sneezed", "to": "closed"}]})");
+        REQUIRE_FALSE(succeeded(parsed));
+        CHECK(error_of(parsed).message.find("sneezed") != std::string::npos);
+    }
+    SECTION("text that is not JSON is an error") {
+        CHECK_FALSE(succeeded(connection_chart::parse("initial: connecting")));
+    }
+}
+
+} // namespace chervilturn
