--- a/test/support/scenario_main.cpp
+++ b/test/support/scenario_main.cpp
@@ -138,6 +138,16 @@
     return 1;
 }
 
+int lua_folder(lua_State* lua) {
+    lua_pushstring(lua, host_of(lua).folder().c_str());
+    return 1;
+}
+
+int lua_script_folder(lua_State* lua) {
+    lua_pushstring(lua, SCENARIO_FOLDER);
+    return 1;
+}
+
 int lua_now(lua_State* lua) {
     lua_pushnumber(lua, to_seconds(monotonic_clock::now().time_since_epoch()));
     return 1;
@@ -162,7 +172,8 @@
         {"request", lua_request},  {"outcome", lua_outcome},
         {"pump", lua_pump},        {"parse", lua_parse},
         {"write_file", lua_write}, {"now", lua_now},
-        {"check", lua_check},      {"wall_ms", lua_wall_ms}};
+        {"check", lua_check},      {"wall_ms", lua_wall_ms},
+        {"folder", lua_folder},    {"script_folder", lua_script_folder}};
     for (const auto& [name, function] : functions) {
         lua_pushcfunction(lua, function);
         lua_setglobal(lua, name.c_str());
@@ -195,15 +206,15 @@
     std::string script;
 };
 
-void register_scripts(const std::string& programs, const std::filesystem::path& folder) {
+void register_scripts(const std::string& programs, const std::filesystem::path& folder,
+                      const std::string& prelude) {
     std::vector<std::filesystem::path> scripts;
     for (const auto& entry : std::filesystem::directory_iterator{folder}) {
-        if (entry.path().extension() == ".lua") {
+        if (entry.path().extension() == ".lua" && entry.path().stem() != "lib") {
             scripts.push_back(entry.path());
         }
     }
     std::sort(scripts.begin(), scripts.end());
-    const auto prelude = (folder / "lib" / "fleet.lua").string();
     for (const auto& script : scripts) {
         Catch::getMutableRegistryHub().registerTest(
             Catch::makeTestCase(new script_case{programs, prelude, script.string()}, "",
@@ -216,6 +227,6 @@
 } // namespace chervilturn::test
 
 int main(int count, char** values) {
-    chervilturn::test::register_scripts(PROGRAM_FOLDER, SCENARIO_FOLDER);
+    chervilturn::test::register_scripts(PROGRAM_FOLDER, SCENARIO_FOLDER, SCENARIO_PRELUDE);
     return Catch::Session{}.run(count, values);
 }
