Collect changes of the epoll set before each wait

Cause: every write of a message cost two epoll_ctl calls besides the write itself. Ruled out: writing at once instead of through the buffered socket (it would fork libevent's flow control). Change: EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST.

--- a/src/chervilturn/transport/event_loop.cpp
+++ b/src/chervilturn/transport/event_loop.cpp
@@ -28,6 +28,7 @@
 [[nodiscard]] event_base* make_base() {
     auto* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     auto* base = event_base_new_with_config(config);
     event_config_free(config);
     if (base == nullptr) {
