Ask earlier homes only about keys whose whole history is known

Ruled out: a longer clock margin (the gap is unbounded, not a clock error); answering unknown for 19 s after every start (it would refuse all keys of a fleet that starts together). Change: an owner answers unknown for keys older than its knowledge of homes, and asks all owners of the service about keys dated within 19 s of its start.

--- a/src/chervilturn/admission/home_history.cpp
+++ b/src/chervilturn/admission/home_history.cpp
@@ -4,6 +4,7 @@
 #include "chervilturn/core/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chervilturn {
 
@@ -33,7 +34,9 @@
     return home;
 }
 
-void home_history::observe(const std::vector<home_candidate>& candidates, const clock_reading& now) {
+void home_history::observe(const std::vector<home_candidate>& candidates, std::vector<address> owners,
+                           const clock_reading& now) {
+    this->members = std::move(owners);
     if (this->sets.empty() || this->sets.back().candidates != candidates) {
         this->sets.push_back({now, candidates});
     }
@@ -42,6 +45,9 @@
 home_period home_history::period(const region_set& regions, const std::string& key,
                                  const address& self) const {
     home_period found;
+    found.known_since = this->sets.front().since;
+    std::copy_if(this->members.begin(), this->members.end(), std::back_inserter(found.members),
+                 [&self](const address& member) { return member != self; });
     bool contiguous = true;
     for (auto set = this->sets.rbegin(); set != this->sets.rend(); ++set) {
         const auto home = key_home(set->candidates, regions, key);
--- a/src/chervilturn/admission/home_history.hpp
+++ b/src/chervilturn/admission/home_history.hpp
@@ -35,15 +35,18 @@
 
 /// @brief Since when this owner is a key's home, and who was before.
 struct home_period {
-    clock_reading since;
-    std::vector<address> earlier; // homes before it within memory; empty when none is known
+    clock_reading since;          // this owner is home without interruption
+    clock_reading known_since;    // homes before this moment are not known
+    std::vector<address> earlier; // homes known to have been before it
+    std::vector<address> members; // all other owners of the service, which may hold older settings
 };
 
 /// @brief Past candidate sets of one service as this owner accepted them.
 class home_history {
   public:
-    /// @brief Notes the candidates in force; only changes are kept.
-    void observe(const std::vector<home_candidate>& candidates, const clock_reading& now);
+    /// @brief Notes the candidates in force, of which only changes are kept, and all owners of the service.
+    void observe(const std::vector<home_candidate>& candidates, std::vector<address> owners,
+                 const clock_reading& now);
 
     /// @brief Since when a node is home of a key; it must be the home under the latest candidates.
     [[nodiscard]] home_period period(const region_set& regions, const std::string& key,
@@ -62,6 +65,7 @@
     };
 
     std::deque<observed_set> sets; // oldest first
+    std::vector<address> members;  // owners of the service in the latest settings
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/admission/key_record.cpp
+++ b/src/chervilturn/admission/key_record.cpp
@@ -2,9 +2,18 @@
 #include "chervilturn/admission/key_record.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chervilturn {
 
+namespace {
+
+[[nodiscard]] const clock_reading& later_of(const clock_reading& left, const clock_reading& right) noexcept {
+    return left.monotonic < right.monotonic ? right : left;
+}
+
+} // namespace
+
 key_record::key_record(const key_record_options& given, const clock_reading& now)
     : options{given}, started{now} {}
 
@@ -22,15 +31,20 @@
     if (const auto objection = this->objection_to_age(key, now)) {
         return *objection;
     }
+    const auto known_since = later_of(this->started, period.known_since);
+    if (!this->is_newer(key, known_since, microseconds::zero(), now)) {
+        return key_refused{outcome::unknown, reason::key_record_young};
+    }
+    // Soon after a start, owners that hold older settings may be homes that this owner never saw.
+    if (!this->is_newer(key, known_since, this->options.move_bound, now)) {
+        std::copy_if(period.members.begin(), period.members.end(), std::back_inserter(earlier),
+                     [&earlier](const address& member) {
+                         return std::find(earlier.begin(), earlier.end(), member) == earlier.end();
+                     });
+    }
     if (!earlier.empty()) {
         return key_ask{std::move(earlier)};
     }
-    const auto& since = std::max(this->started.monotonic, period.since.monotonic) == this->started.monotonic
-                            ? this->started
-                            : period.since;
-    if (!this->is_newer(key, since, microseconds::zero(), now)) {
-        return key_refused{outcome::unknown, reason::key_record_young};
-    }
     return this->fresh_if_room();
 }
 
@@ -55,7 +69,8 @@
             break;
         }
     }
-    if (!all_reached && !this->is_newer(key, period.since, this->options.move_bound, now)) {
+    const auto settled_since = later_of(period.since, later_of(this->started, period.known_since));
+    if (!all_reached && !this->is_newer(key, settled_since, this->options.move_bound, now)) {
         return key_refused{outcome::unknown, reason::key_record_young};
     }
     return this->fresh_if_room();
--- a/src/chervilturn/node/key_desk.cpp
+++ b/src/chervilturn/node/key_desk.cpp
@@ -10,6 +10,15 @@
 constexpr microseconds reply_timeout = std::chrono::milliseconds{400};
 constexpr microseconds home_memory = std::chrono::minutes{11}; // longer than keys are retained
 
+[[nodiscard]] std::vector<address> owners_of(const service& target) {
+    std::vector<address> owners;
+    owners.reserve(target.backend_servers.size());
+    for (const auto& server : target.backend_servers) {
+        owners.push_back(server.node);
+    }
+    return owners;
+}
+
 } // namespace
 
 clock_reading read_clocks() noexcept {
@@ -33,7 +42,7 @@
     for (const auto& [team_name, owner] : settings.teams) {
         for (const auto& [service_name, target] : owner.services) {
             auto& history = this->homes[team_name + '/' + service_name];
-            history.observe(home_candidates(settings, owner, target), now);
+            history.observe(home_candidates(settings, owner, target), owners_of(target), now);
             history.expire(now.monotonic - home_memory);
         }
     }
--- /dev/null
+++ b/test/chervilturn/admission/door_test.cpp
@@ -0,0 +1,212 @@
+// The owner's door: exact slots, warm-up, fairness, deadlines; and random orders of events.
+#include "chervilturn/admission/door.hpp"
+#include "chervilturn/core/random.hpp"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace chervilturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+queue_entry entry_of(std::uint64_t number, const std::string& workspace, instant deadline) {
+    return {
+        .attempt = {1, number}, .workspace = workspace, .weight = 1, .urgent = false, .deadline = deadline};
+}
+
+door warm_door(std::uint32_t slots, std::uint32_t max_queue) {
+    return door{{.warm_up = {.slots = slots, .cold_slots = slots}, .max_queue = max_queue}};
+}
+
+} // namespace
+
+TEST_CASE("a door counts slots exactly") {
+    const instant now{1s};
+    auto gate = warm_door(2, 1);
+    REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(1, "a", now + 1s), now)));
+    REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(2, "a", now + 1s), now)));
+
+    SECTION("the next call waits, the one after is refused") {
+        REQUIRE(std::holds_alternative<queued>(gate.admit(entry_of(3, "a", now + 1s), now)));
+        const auto third = gate.admit(entry_of(4, "a", now + 1s), now);
+        REQUIRE(std::holds_alternative<refused>(third));
+        CHECK(std::get<refused>(third).why == reason::queue_full);
+
+        SECTION("and leaves the queue when a slot is free") {
+            CHECK(gate.advance(now).dispatch.empty());
+            gate.complete({1, 1}, 1ms);
+            CHECK(gate.advance(now).dispatch == std::vector<attempt_id>{{1, 3}});
+        }
+        SECTION("and leaves as expired when its deadline passes first") {
+            CHECK(gate.advance(now + 2s).expired == std::vector<attempt_id>{{1, 3}});
+        }
+    }
+    SECTION("a cancelled call holds its slot for the grace") {
+        gate.abandon({1, 1}, now);
+        CHECK(std::holds_alternative<queued>(gate.admit(entry_of(5, "a", now + 1s), now)));
+        CHECK(gate.advance(now + 50ms).dispatch.empty());
+        CHECK(gate.advance(now + 100ms).dispatch.size() == 1);
+    }
+    SECTION("a call that cannot start in time is refused at once") {
+        gate.complete({1, 1}, 100ms);
+        gate.complete({1, 2}, 100ms);
+        auto busy = door{{.warm_up = {.slots = 1, .cold_slots = 1}, .max_queue = 100}};
+        REQUIRE(std::holds_alternative<dispatched>(busy.admit(entry_of(1, "a", now + 1s), now)));
+        busy.complete({1, 1}, 100ms);
+        REQUIRE(std::holds_alternative<dispatched>(busy.admit(entry_of(2, "a", now + 1s), now)));
+        REQUIRE(std::holds_alternative<queued>(busy.admit(entry_of(3, "a", now + 1s), now)));
+        const auto late = busy.admit(entry_of(4, "a", now + 90ms), now);
+        REQUIRE(std::holds_alternative<refused>(late));
+        CHECK(std::get<refused>(late).why == reason::deadline_too_near);
+    }
+}
+
+TEST_CASE("a full queue is shared by weight") {
+    const instant now{1s};
+    auto gate = warm_door(1, 4);
+    REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(1, "noisy", now + 1s), now)));
+    for (std::uint64_t number = 2; number <= 5; ++number) {
+        REQUIRE(std::holds_alternative<queued>(gate.admit(entry_of(number, "noisy", now + 1s), now)));
+    }
+    SECTION("a neighbour's call pushes out the newest call of the workspace with the largest share") {
+        const auto admitted = gate.admit(entry_of(10, "quiet", now + 1s), now);
+        REQUIRE(std::holds_alternative<queued>(admitted));
+        REQUIRE(std::get<queued>(admitted).displaced);
+        CHECK(std::get<queued>(admitted).displaced->attempt == attempt_id{1, 5});
+        SECTION("and is served in its turn, not after the whole queue") {
+            gate.complete({1, 1}, 1ms);
+            CHECK(gate.advance(now).dispatch == std::vector<attempt_id>{{1, 2}});
+            gate.complete({1, 2}, 1ms);
+            CHECK(gate.advance(now).dispatch == std::vector<attempt_id>{{1, 10}});
+        }
+    }
+    SECTION("the noisy workspace's own further calls are refused") {
+        CHECK(std::holds_alternative<refused>(gate.admit(entry_of(6, "noisy", now + 1s), now)));
+    }
+}
+
+TEST_CASE("urgent calls go first, but never starve the others") {
+    const instant now{1s};
+    auto gate = warm_door(1, 100);
+    REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(1, "a", now + 9s), now)));
+    REQUIRE(std::holds_alternative<queued>(gate.admit(entry_of(2, "a", now + 9s), now)));
+    for (std::uint64_t number = 10; number < 20; ++number) {
+        auto entry = entry_of(number, "b", now + 9s);
+        entry.urgent = true;
+        REQUIRE(std::holds_alternative<queued>(gate.admit(entry, now)));
+    }
+    std::vector<std::uint64_t> order;
+    attempt_id running{1, 1};
+    for (int turn = 0; turn < 6; ++turn) {
+        gate.complete(running, 1ms);
+        running = gate.advance(now).dispatch.at(0);
+        order.push_back(running.sequence);
+    }
+    CHECK(order == std::vector<std::uint64_t>{10, 11, 12, 13, 2, 14});
+}
+
+TEST_CASE("a backend server warms up by answers, not by time") {
+    const instant now{1s};
+    door gate{{.warm_up = {.slots = 4, .cold_slots = 1, .answers_per_slot = 2}, .max_queue = 100}};
+    const auto answer_calls = [&gate, now](int count, microseconds service_time) {
+        for (int number = 0; number < count; ++number) {
+            const auto entry = entry_of(static_cast<std::uint64_t>(100 + number), "a", now + 1s);
+            REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry, now)));
+            gate.complete(entry.attempt, service_time);
+        }
+    };
+    CHECK(gate.report().limit == 1);
+    answer_calls(2, 1ms);
+    CHECK(gate.report().limit == 2);
+    CHECK(gate.backend().state() == backend_state::warming);
+    answer_calls(4, 1ms);
+    CHECK(gate.report().limit == 4);
+    CHECK(gate.backend().state() == backend_state::warm);
+
+    SECTION("slow answers in a row are a cold start") {
+        answer_calls(2, 10ms);
+        CHECK(gate.report().limit == 4);
+        answer_calls(1, 10ms);
+        CHECK(gate.report().limit == 1);
+        CHECK(gate.backend().state() == backend_state::cold);
+    }
+    SECTION("one slow answer is not") {
+        answer_calls(2, 10ms);
+        answer_calls(1, 1ms);
+        answer_calls(2, 10ms);
+        CHECK(gate.report().limit == 4);
+    }
+    SECTION("a new boot mark is") {
+        gate.backend().on_restarted();
+        CHECK(gate.report().limit == 1);
+    }
+    SECTION("a refused connection closes the door until the server is reached again, then it is cold") {
+        gate.backend().on_lost();
+        CHECK(gate.report().limit == 0);
+        CHECK(std::holds_alternative<refused>(gate.admit(entry_of(1, "a", now + 1s), now)));
+        gate.backend().on_reached();
+        CHECK(gate.report().limit == 1);
+    }
+    SECTION("a drain closes the door, its end leaves the server cold") {
+        gate.backend().on_drain(true);
+        CHECK(gate.report().limit == 0);
+        gate.backend().on_drain(false);
+        CHECK(gate.report().limit == 1);
+    }
+}
+
+TEST_CASE("no order of events puts more calls on a backend server than its limit") {
+    const auto seed = GENERATE(range<std::uint64_t>(1, 101));
+    random_source random{seed};
+    instant now{1s};
+    door gate{{.warm_up = {.slots = 5, .cold_slots = 2, .answers_per_slot = 3}, .max_queue = 8}};
+    std::set<attempt_id> running;
+    std::set<attempt_id> waiting;
+    std::uint64_t number = 0;
+    const auto take = [&random](std::set<attempt_id>& from) {
+        auto chosen = from.begin();
+        std::advance(chosen, static_cast<std::ptrdiff_t>(random.index(from.size())));
+        const auto attempt = *chosen;
+        from.erase(chosen);
+        return attempt;
+    };
+    for (int step = 0; step < 400; ++step) {
+        now += microseconds{static_cast<std::int64_t>(random.index(20'000))};
+        const auto before = running.size();
+        const auto limit_before = gate.report().limit;
+        const auto action = random.index(8);
+        if (action < 3) {
+            const auto entry = entry_of(++number, random.index(2) == 0 ? "a" : "b", now + 50ms);
+            const auto admitted = gate.admit(entry, now);
+            if (std::holds_alternative<dispatched>(admitted)) {
+                running.insert(entry.attempt);
+                CHECK(running.size() <= limit_before);
+            } else if (const auto* placed = std::get_if<queued>(&admitted)) {
+                waiting.insert(entry.attempt);
+                if (placed->displaced) {
+                    CHECK(waiting.erase(placed->displaced->attempt) == 1);
+                }
+            }
+        } else if (action < 6 && !running.empty()) {
+            gate.complete(take(running), microseconds{1000 + static_cast<std::int64_t>(random.index(9000))});
+        } else if (action == 6) {
+            gate.backend().on_restarted();
+        } else {
+            const auto leaving = gate.advance(now);
+            for (const auto& attempt : leaving.expired) {
+                CHECK(waiting.erase(attempt) == 1);
+            }
+            for (const auto& attempt : leaving.dispatch) {
+                CHECK(waiting.erase(attempt) == 1);
+                running.insert(attempt);
+            }
+            CHECK(running.size() <= std::max<std::size_t>(before, gate.report().limit));
+        }
+        CHECK(gate.report().queued == waiting.size());
+        CHECK(gate.report().in_use == running.size());
+    }
+}
+
+} // namespace chervilturn
