Send calls only to an owner that has introduced itself; warm up slower after a relapse

Cause: (1) scenario graceful_shutdown: calls after a shutdown ended unknown, since a connection that opens and closes before the owner says anything left the entry guessing. (2) scenario cold_start: with answers per slot set too low the limit rose, the backend server collapsed, and the same climb began again; it was never warm in 15 s. Ruled out: (1) trusting a refused connection alone (a relay or a full backlog accepts for a dead owner); (2) a longer default climb for everyone (it would slow servers that warm up well). Change: calls are held until the owner's introduction arrives, so a failure before it is a true not-run; each relapse while warming doubles the answers that the next slot takes. The first call to an owner pays one round trip; later ones pay nothing.

--- a/src/chervilturn/admission/warm_up.cpp
+++ b/src/chervilturn/admission/warm_up.cpp
@@ -11,6 +11,7 @@
 constexpr double slow_factor = 3.0;            // an answer this many times the normal stops growth
 constexpr double cold_factor = 8.0;            // an answer this many times the normal hints at a cold start
 constexpr std::uint32_t cold_answer_count = 3; // slow answers in a row that count as a cold start
+constexpr std::uint32_t max_patience = 64;
 constexpr double falling_weight = 0.1;         // of a faster answer in the smoothed service time
 constexpr double rising_weight = 0.01;         // of a slower one, so that a slow spell stays visible
 
@@ -40,6 +41,7 @@
     this->learn_normal(micros);
     if (normal > 0.0 && micros > normal * cold_factor) {
         if (++this->slow_answers >= cold_answer_count) {
+            this->note_relapse();
             this->become_cold();
         }
         return;
@@ -88,6 +90,13 @@
     return microseconds{static_cast<std::int64_t>(this->normal_micros)};
 }
 
+// A backend server that collapses while it warms up was given too much too soon; the next try is slower.
+void warm_up_limit::note_relapse() noexcept {
+    if (this->machine.state() == backend_state::warming) {
+        this->patience = std::min(this->patience * 2, max_patience);
+    }
+}
+
 void warm_up_limit::become_cold() noexcept {
     this->machine.apply(backend_event::cold_sign);
     this->allowed = std::min(this->options.cold_slots, this->options.slots);
@@ -105,12 +114,14 @@
 }
 
 void warm_up_limit::grow() noexcept {
-    if (this->allowed < this->options.slots && ++this->normal_answers >= this->options.answers_per_slot) {
+    const auto wanted = this->options.answers_per_slot * this->patience;
+    if (this->allowed < this->options.slots && ++this->normal_answers >= wanted) {
         ++this->allowed;
         this->normal_answers = 0;
     }
     if (this->allowed >= this->options.slots) {
         this->machine.apply(backend_event::limit_full);
+        this->patience = 1;
     }
 }
 
--- a/src/chervilturn/admission/warm_up.hpp
+++ b/src/chervilturn/admission/warm_up.hpp
@@ -68,6 +68,7 @@
     [[nodiscard]] microseconds normal_service_time() const noexcept;
 
   private:
+    void note_relapse() noexcept;
     void become_cold() noexcept;
     void learn_normal(double micros) noexcept;
     void grow() noexcept;
@@ -76,6 +77,7 @@
     backend_machine machine;
     std::uint32_t allowed;            // between cold_slots and slots
     std::uint32_t normal_answers = 0; // since the limit last changed
+    std::uint32_t patience = 1;       // factor on answers_per_slot; doubles with each relapse while warming
     std::uint32_t slow_answers = 0;   // in a row
     double normal_micros = 0.0;       // smoothed; 0 before the first answer
 };
--- a/src/chervilturn/node/links_task.cpp
+++ b/src/chervilturn/node/links_task.cpp
@@ -30,15 +30,11 @@
     if (used.outstanding.empty()) {
         used.health.on_first_outstanding(now);
     }
-    const auto attempt = request.sent.attempt;
-    const auto generation = usable_generation(used);
-    const auto introduced = generation == used.current_generation ? used.owner_incarnation : 0;
-    used.outstanding[attempt] = {now + request.sent.remaining, generation, introduced};
-    const auto bytes = usable_connection(used).send(message{std::move(request.sent)});
-    this->context->measured->counters().call_bytes_sent += bytes;
-    if (bytes == 0) {
-        used.outstanding.erase(attempt);
-        this->end_attempt(attempt, outcome::not_run, reason::no_connection);
+    used.outstanding[request.sent.attempt] = {now + request.sent.remaining, 0};
+    if (used.introduced()) {
+        this->write_call(used, std::move(request.sent));
+    } else {
+        used.held.emplace_back(std::move(request.sent));
     }
 }
 
@@ -47,7 +43,13 @@
     if (found == this->links.end() || found->second.outstanding.erase(request.attempt) == 0) {
         return;
     }
-    this->send_on(found->second, cancel{request.attempt});
+    const auto dropped = std::erase_if(found->second.held, [&request](const message& held) {
+        const auto* waiting = std::get_if<call>(&held);
+        return waiting != nullptr && waiting->attempt == request.attempt;
+    });
+    if (dropped == 0) {
+        this->send_on(found->second, cancel{request.attempt});
+    }
 }
 
 void links_task::handle(const send_subscription& request) {
@@ -95,22 +97,13 @@
               .fresh = nullptr,
               .health = connection_health{{}, now},
               .outstanding = {},
+              .held = {},
               .followed = {}};
     auto& added = this->links.emplace(peer, std::move(made)).first->second;
     this->start_current(added);
     return added;
 }
 
-// While the current connection is closed and a fresh one connects, messages wait on the fresh one.
-peer_connection& links_task::usable_connection(link& used) noexcept {
-    return used.current->is_closed() && used.fresh != nullptr ? *used.fresh : *used.current;
-}
-
-std::uint64_t links_task::usable_generation(const link& used) noexcept {
-    return used.current->is_closed() && used.fresh != nullptr ? used.fresh_generation
-                                                              : used.current_generation;
-}
-
 std::shared_ptr<peer_connection> links_task::open_connection(link& opened, std::uint64_t generation) {
     auto connection = peer_connection::open(*this->context->loop, opened.peer);
     const auto peer = opened.peer;
@@ -180,11 +173,7 @@
     }
     heard.health.on_connected(now_monotonic());
     heard.owner_incarnation = introduced.incarnation;
-    for (auto& [attempt, waiting] : heard.outstanding) {
-        if (waiting.owner_incarnation == 0) {
-            waiting.owner_incarnation = introduced.incarnation;
-        }
-    }
+    this->send_held(heard);
 }
 
 void links_task::adopt_fresh(link& replaced, std::uint64_t owner_incarnation) {
@@ -202,15 +191,41 @@
     if (replaced.followed) {
         this->send_on(replaced, *replaced.followed);
     }
+    this->send_held(replaced);
+}
+
+// Calls leave this node only on a connection whose owner has introduced itself. Until then it is certain
+// that they did not run, however the connection ends.
+void links_task::send_held(link& introduced) {
+    const auto held = std::exchange(introduced.held, {});
+    for (const auto& waiting : held) {
+        if (const auto* sent = std::get_if<call>(&waiting)) {
+            this->write_call(introduced, call{*sent});
+        } else {
+            this->send_on(introduced, waiting);
+        }
+    }
+}
+
+void links_task::write_call(link& used, call&& sent) {
+    const auto attempt = sent.attempt;
+    auto& waiting = used.outstanding.at(attempt);
+    waiting.owner_incarnation = used.owner_incarnation;
+    sent.remaining = elapsed(now_monotonic(), waiting.deadline);
+    const auto bytes = used.current->send(message{std::move(sent)});
+    this->context->measured->counters().call_bytes_sent += bytes;
+    if (bytes == 0) {
+        used.outstanding.erase(attempt);
+        this->end_attempt(attempt, outcome::not_run, reason::no_connection);
+    }
 }
 
 // An owner of another incarnation knows nothing of earlier attempts, so it is not asked about them.
 void links_task::inquire_outstanding(link& resumed) {
     const auto now = now_monotonic();
     std::vector<attempt_id> lost;
-    for (auto& [attempt, waiting] : resumed.outstanding) {
-        if (waiting.generation == resumed.current_generation) {
-            waiting.owner_incarnation = resumed.owner_incarnation;
+    for (const auto& [attempt, waiting] : resumed.outstanding) {
+        if (waiting.owner_incarnation == 0) {
             continue;
         }
         const bool same_owner = waiting.owner_incarnation == resumed.owner_incarnation;
@@ -255,27 +270,27 @@
         return;
     }
     if (cause == close_cause::refused || !current_closed) {
-        this->fail_link(closed, cause == close_cause::refused ? generation : 0);
+        this->fail_link(closed);
         return;
     }
-    if (!closed.in_demand()) {
+    if (closed.owner_incarnation == 0) {
+        this->fail_link(closed);
+    } else if (!closed.in_demand()) {
         this->links.erase(found);
-        return;
-    }
-    if (closed.fresh == nullptr) {
+    } else if (closed.fresh == nullptr) {
         this->start_fresh(closed);
     }
 }
 
-// Attempts that wait on a connection that was never made did not leave this node. All others may have run.
-void links_task::fail_link(link& failed, std::uint64_t unconnected_generation) {
+// Attempts that are still held did not leave this node. All others may have run.
+void links_task::fail_link(link& failed) {
     const auto peer = failed.peer;
     const bool was_followed = failed.followed.has_value();
     const auto ended = std::move(failed.outstanding);
     log_event(log_level::info, "link_failed", {{"peer", to_string(peer)}, {"outstanding", ended.size()}});
     this->links.erase(peer);
     for (const auto& [attempt, waiting] : ended) {
-        if (waiting.generation == unconnected_generation) {
+        if (waiting.owner_incarnation == 0) {
             this->end_attempt(attempt, outcome::not_run, reason::no_connection);
         } else {
             this->end_attempt(attempt, outcome::unknown, reason::connection_lost);
@@ -291,7 +306,11 @@
 }
 
 void links_task::send_on(link& used, const message& sent) {
-    this->context->measured->counters().control_bytes_sent += usable_connection(used).send(sent);
+    if (used.introduced()) {
+        this->context->measured->counters().control_bytes_sent += used.current->send(sent);
+    } else {
+        used.held.push_back(sent);
+    }
 }
 
 void links_task::check_links() {
@@ -311,13 +330,13 @@
 void links_task::check_link(link& checked, instant now) {
     if (checked.fresh != nullptr) {
         if (now - checked.fresh_opened_at > connect_timeout) {
-            this->fail_link(checked, checked.fresh->is_open() ? 0 : checked.fresh_generation);
+            this->fail_link(checked);
         }
         return;
     }
     if (checked.health.state() == connection_state::connecting) {
         if (now - checked.opened_at > connect_timeout) {
-            this->fail_link(checked, checked.current->is_open() ? 0 : checked.current_generation);
+            this->fail_link(checked);
         }
         return;
     }
--- a/src/chervilturn/node/links_task.hpp
+++ b/src/chervilturn/node/links_task.hpp
@@ -20,8 +20,7 @@
   private:
     struct outstanding_attempt {
         instant deadline;
-        std::uint64_t generation = 0;        // of the connection that it was sent on
-        std::uint64_t owner_incarnation = 0; // 0 while the owner has not introduced itself
+        std::uint64_t owner_incarnation = 0; // of the owner that it was sent to; 0 while it is held
     };
 
     struct link {
@@ -33,11 +32,17 @@
         std::uint64_t fresh_generation = 0;   // ones are recognised; fresh_generation is 0 without one
         std::uint64_t owner_incarnation = 0;  // as the owner introduced itself on current
         std::unordered_map<attempt_id, outstanding_attempt, attempt_id_hash> outstanding;
+        std::vector<message> held; // sent once a connection is introduced
         std::optional<subscription> followed;
         instant opened_at{};
         instant fresh_opened_at{};
         instant used_at{};
 
+        /// @brief Whether the current connection may be written to.
+        [[nodiscard]] bool introduced() const noexcept {
+            return this->fresh == nullptr && this->owner_incarnation != 0 && this->current->is_open();
+        }
+
         [[nodiscard]] bool in_demand() const noexcept {
             return !this->outstanding.empty() || this->followed.has_value();
         }
@@ -51,8 +56,6 @@
     void handle(const describe_request& request);
 
     [[nodiscard]] link& link_to(const address& peer);
-    [[nodiscard]] static peer_connection& usable_connection(link& used) noexcept;
-    [[nodiscard]] static std::uint64_t usable_generation(const link& used) noexcept;
     [[nodiscard]] std::shared_ptr<peer_connection> open_connection(link& opened, std::uint64_t generation);
     void start_current(link& opened);
     void start_fresh(link& suspected);
@@ -62,7 +65,9 @@
     void adopt_fresh(link& replaced, std::uint64_t owner_incarnation);
     void inquire_outstanding(link& resumed);
     void on_answer(link& heard, const answer& ended);
-    void fail_link(link& failed, std::uint64_t unconnected_generation);
+    void fail_link(link& failed);
+    void write_call(link& used, call&& sent);
+    void send_held(link& introduced);
     void end_attempt(const attempt_id& attempt, outcome result, reason why);
     void send_on(link& used, const message& sent);
     void check_links();
--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -138,6 +138,17 @@
         answer_calls(2, 10ms);
         CHECK(gate.report().limit == 4);
     }
+    SECTION("a relapse while it warms up doubles the answers that the next slot takes") {
+        gate.backend().on_restarted();
+        answer_calls(2, 1ms);
+        REQUIRE(gate.backend().state() == backend_state::warming);
+        answer_calls(3, 20ms);
+        REQUIRE(gate.report().limit == 1);
+        answer_calls(3, 1ms);
+        CHECK(gate.report().limit == 1);
+        answer_calls(1, 1ms);
+        CHECK(gate.report().limit == 2);
+    }
     SECTION("a new boot mark is") {
         gate.backend().on_restarted();
         CHECK(gate.report().limit == 1);
