Let the stale platform show a tree that is older than the newest settings

Cause: two scenarios froze the stand-in at its newest tree, so nothing in them was stale. Ruled out: restarting the stand-in with an old tree (its revisions would start anew, which is another fault).

--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -1,6 +1,6 @@
 // Stand-in for the platform: a tree with revisions that can be read and watched, and a host list in it.
-// Operators' side: PUT or DELETE /control/leaf/PATH, POST /control/mode?mode=up|down|stale|garbage,
-// GET /control/counts.
+// Operators' side: PUT or DELETE /control/leaf/PATH, GET /control/counts, and POST /control/mode?mode= with
+// up, down, garbage, snapshot (keeps a copy of the tree) or stale (shows that copy).
 #include "chervilturn/config/tree.hpp"
 #include "chervilturn/transport/http.hpp"
 #include "stand_ins/query.hpp"
@@ -132,9 +132,10 @@
     }
 
     void set_mode(const std::string& name) {
-        if (name == "stale") {
+        if (name == "snapshot") {
             this->frozen_leaves = this->leaves;
             this->frozen_revision = this->revision;
+            return;
         }
         this->current = name == "down"      ? mode::down
                         : name == "stale"   ? mode::stale
--- a/test/scenarios/data_centre_out.lua
+++ b/test/scenarios/data_centre_out.lua
@@ -34,11 +34,23 @@
   f:call(f.nodes["passports-capital-a-2"], lookup)
   return f:total_runs(inside) > runs_at_bound
 end)
-f:platform_mode("stale")
-f:platform_mode("up")
+f:platform_mode("snapshot")
 f:publish_data_centre("capital-a", "out")
-wait_until("the change is in force", few_seconds, function()
-  local page = http { address = address_of(f.order[1].operators),
-    target = "/explain?team=teranga&workspace=market&service=passports&path=/" }
-  return page.body:find("data_centre_out", 1, true) ~= nil
+wait_until("the change is in force", settings_bound, function()
+  for _, node in ipairs(f.order) do
+    local page = http { address = address_of(node.operators),
+      target = "/explain?team=teranga&workspace=market&service=passports&path=/" }
+    if not page.body:find("data_centre_out", 1, true) then return false end
+  end
+  return true
 end)
+f:platform_mode("stale")
+local stale = f.nodes["passports-capital-a-2"]
+signal(stale.pid, "KILL")
+wait_until("the node is gone", 5, function() return exit_code(stale.pid) ~= -1000 end)
+runs_at_bound = f:total_runs(inside)
+f:start_node(stale)
+f:wait_ready(stale)
+local ready = now()
+f:load_until("the restarted node was asked for a while", 5, { stale, restarted }, lookup, 6, function() return now() > ready + 1 end)
+check(f:total_runs(inside) == runs_at_bound, "the restarted node dispatches nothing in the data centre")
--- a/test/scenarios/settings_spread.lua
+++ b/test/scenarios/settings_spread.lua
@@ -46,26 +46,29 @@
 
 -- Nonsense from the platform changes nothing.
 local before = revision(f.order[1], "teranga")
+local function failures()
+  local total = 0
+  for _, node in ipairs(f.order) do total = total + f:metric(node, "platform_failures_total") end
+  return total
+end
+local failures_before = failures()
 f:platform_mode("garbage")
-wait_until("a reader notices", 25, function()
-  local failures = 0
-  for _, node in ipairs(f.order) do failures = failures + f:metric(node, "platform_failures_total") end
-  return failures > 0
-end)
+f:publish("teams/teranga/workspaces/unseen", "{}")
+wait_until("readers notice", 25, function() return failures() > failures_before end)
 check(revision(f.order[1], "teranga") == before, "nonsense is not accepted")
 
--- The platform is stale while all nodes are replaced one by one: the newest settings survive in their peers.
-f:platform_mode("up")
-f:platform_mode("stale")
+-- The platform is stale, then down, while all nodes are replaced one by one: the newest settings survive in their peers.
 f:platform_mode("up")
+f:platform_mode("snapshot")
 f:publish("teams/teranga/workspaces/third", "{}")
 local newest
 wait_until("the third workspace is accepted everywhere", settings_bound, function()
   newest = revision(f.order[1], "teranga")
   return newest > before and all_at("teranga", newest)
 end)
-f:platform_mode("down")
+f:platform_mode("stale")
 for index, node in ipairs(f.order) do
+  if index == 4 then f:platform_mode("down") end
   signal(node.pid, "KILL")
   wait_until(node.name .. " is gone", 5, function() return exit_code(node.pid) ~= -1000 end)
   node.seeds = { address_of(f.order[index % #f.order + 1].reachable) }
