Take a peer's accepted subtree while a newer one is broken; ping subscriptions less often

Cause: (1) a node that met a broken leaf first refused its peers' last accepted leaves as older, so a fresh node had no settings of that team at all; found while writing the random-order test of acceptance. (2) A followed connection was pinged every 250 ms, 8 packets a second for each link, although nobody waits on it. Ruled out: (1) sharing broken leaves among peers (each would have to tell them apart again); (2) no pings at all (a silent parent would go unnoticed until the next change). Change: offers are tried on the accepted leaves when the candidate is broken; pings after 2 s, suspicion after 3 s of silence where only a subscription waits.

--- /dev/null
+++ b/bench/design_size_settings.lua
@@ -0,0 +1,40 @@
+-- What the settings of the design size cost one node: 520 backend servers, 32 services, 9 data centres.
+dofile(script_folder() .. "/lib.lua")
+local f = fleet { seed = 3, data_centres = { ["dc-1"] = "r-1" }, services = { s0 = { ["dc-1"] = 1 } },
+  routes = { lookup = { service = "s0", idempotent = true } } }
+f:start_platform()
+for number = 2, 9 do
+  f:publish("teams/fleet/data_centres/dc-" .. number, { region = "r-" .. (number - 1) // 3 + 1, state = "in" })
+end
+local servers = 0
+for service = 1, 31 do
+  local leaf = { backend_servers = {} }
+  for member = 1, service <= 23 and 17 or 16 do
+    servers = servers + 1
+    local data_centre, where = "dc-" .. servers % 9 + 1, "127.1." .. servers // 250 .. "." .. servers % 250 + 1 .. ":7000"
+    leaf.backend_servers[member] = { name = "s" .. service .. "-" .. member, node = where, data_centre = data_centre, slots = 12 }
+    f:publish("hosts/h" .. servers, { peers = where, data_centre = data_centre, state = "live" })
+  end
+  f:publish("teams/team-" .. service % 8 .. "/services/s" .. service, leaf)
+  for workspace = 1, 4 do f:publish("teams/team-" .. service % 8 .. "/workspaces/w" .. service .. "-" .. workspace, "{}") end
+end
+show("published %d backend servers besides the node's own", servers)
+local node = f.order[1]
+f:start_backend(node)
+f:start_node(node)
+f:wait_ready(node)
+local cpu, memory = process_use(node.pid)
+show("start: %.2f s of processor time, resident %.1f MB", cpu, memory)
+local changes = 40
+for number = 1, changes do
+  local before = f:metric(node, "settings_accepted_total")
+  f:publish("teams/team-1/workspaces/w1-1", { weight = number })
+  wait_until("accepted", 19, function() return f:metric(node, "settings_accepted_total") > before end)
+end
+local after, resident = process_use(node.pid)
+show("%d changes: %.1f ms of processor time each (upper bound, with polling), resident %.1f MB", changes,
+  (after - cpu) / changes * 1000, resident)
+local start = now()
+local idle = process_use(node.pid)
+wait_until("time passes", 25, function() return now() > start + 20 end)
+show("idle with this settings size: %.2f%% of a core", (process_use(node.pid) - idle) / 20 * 100)
--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -193,17 +193,23 @@
 
 offer_outcome settings_tree::offer(const subtree_snapshot& offered) {
     auto& state = this->subtrees[offered.subtree];
-    if (!this->merge(state, offered)) {
-        return offer_outcome::unchanged;
-    }
-    if (auto fault = this->compile(offered.subtree, state.candidate)) {
+    const bool newer = offered.revision > state.candidate_revision;
+    const bool merged = merge(state.candidate, offered);
+    state.candidate_revision = std::max(state.candidate_revision, offered.revision);
+    if (newer || merged) {
+        auto fault = this->compile(offered.subtree, state.candidate, state.candidate_revision);
+        if (!fault) {
+            state.accepted = state.candidate;
+            state.revision = state.candidate_revision;
+            this->rejected.erase(offered.subtree);
+            return offer_outcome::accepted;
+        }
         this->rejected[offered.subtree] = {state.candidate_revision, std::move(*fault)};
-        return offer_outcome::rejected;
     }
-    state.accepted = state.candidate;
-    state.revision = state.candidate_revision;
-    this->rejected.erase(offered.subtree);
-    return offer_outcome::accepted;
+    if (this->accept_beside_broken(state, offered)) {
+        return offer_outcome::accepted;
+    }
+    return newer || merged ? offer_outcome::rejected : offer_outcome::unchanged;
 }
 
 std::vector<subtree_revision> settings_tree::digest() const {
@@ -234,14 +240,27 @@
     return updates;
 }
 
-bool settings_tree::merge(subtree_state& state, const subtree_snapshot& offered) {
-    bool newer = offered.revision > state.candidate_revision;
-    state.candidate_revision = std::max(state.candidate_revision, offered.revision);
+// A peer's accepted leaves are taken even while this node holds a newer candidate that is broken.
+bool settings_tree::accept_beside_broken(subtree_state& state, const subtree_snapshot& offered) {
+    if (offered.revision <= state.revision) {
+        return false;
+    }
+    auto leaves = state.accepted;
+    if (!merge(leaves, offered) || this->compile(offered.subtree, leaves, offered.revision)) {
+        return false;
+    }
+    state.accepted = std::move(leaves);
+    state.revision = offered.revision;
+    return true;
+}
+
+bool settings_tree::merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& offered) {
+    bool newer = false;
     for (const auto& incoming : offered.leaves) {
         if (subtree_of(incoming.path) != offered.subtree) {
             continue;
         }
-        auto& held = state.candidate[incoming.path];
+        auto& held = leaves[incoming.path];
         if (incoming.revision > held.revision) {
             held = incoming;
             newer = true;
@@ -251,9 +270,9 @@
 }
 
 std::optional<settings_error> settings_tree::compile(const std::string& subtree,
-                                                     const std::map<std::string, leaf>& leaves) {
+                                                     const std::map<std::string, leaf>& leaves,
+                                                     revision_number revision) {
     auto next = std::make_shared<model>(*this->compiled);
-    const auto revision = this->subtrees[subtree].candidate_revision;
     if (subtree == host_subtree) {
         auto hosts = read_hosts(present_leaves(leaves));
         if (!succeeded(hosts)) {
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -87,9 +87,10 @@
         revision_number candidate_revision = 0; // at least revision
     };
 
-    [[nodiscard]] bool merge(subtree_state& state, const subtree_snapshot& offered);
-    [[nodiscard]] std::optional<settings_error> compile(const std::string& subtree,
-                                                        const std::map<std::string, leaf>& leaves);
+    [[nodiscard]] static bool merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& offered);
+    [[nodiscard]] bool accept_beside_broken(subtree_state& state, const subtree_snapshot& offered);
+    [[nodiscard]] std::optional<settings_error>
+    compile(const std::string& subtree, const std::map<std::string, leaf>& leaves, revision_number revision);
 
     std::map<std::string, subtree_state> subtrees;
     std::map<std::string, subtree_rejection> rejected;
--- a/src/chervilturn/membership/connection_health.cpp
+++ b/src/chervilturn/membership/connection_health.cpp
@@ -32,16 +32,18 @@
     this->pinged = false;
 }
 
-connection_advice connection_health::advise(instant now) noexcept {
+connection_advice connection_health::advise(connection_demand demand, instant now) noexcept {
     if (this->machine.state() != connection_state::healthy) {
         return connection_advice::nothing;
     }
+    const auto& limits =
+        demand == connection_demand::calls ? this->options.with_calls : this->options.with_subscription;
     const auto silence = elapsed(this->silent_since, now);
-    if (silence >= this->options.suspect_after && this->pinged) {
+    if (silence >= limits.suspect_after && this->pinged) {
         this->machine.apply(connection_event::overdue);
         return connection_advice::open_fresh;
     }
-    if (silence >= this->options.ping_after && !this->pinged) {
+    if (silence >= limits.ping_after && !this->pinged) {
         this->pinged = true;
         return connection_advice::ping;
     }
--- a/src/chervilturn/membership/connection_health.hpp
+++ b/src/chervilturn/membership/connection_health.hpp
@@ -29,12 +29,21 @@
 /// @brief The chart embedded in the build.
 [[nodiscard]] const connection_chart& default_connection_chart();
 
+/// @brief How long a connection may be silent before something is done about it.
+struct silence_limits {
+    microseconds ping_after;
+    microseconds suspect_after; // later than ping_after
+};
+
 /// @brief Construction of a connection's health.
 struct connection_options {
-    microseconds ping_after = std::chrono::milliseconds{250};    // of silence while calls are outstanding
-    microseconds suspect_after = std::chrono::milliseconds{500}; // of silence after a ping
+    silence_limits with_calls{std::chrono::milliseconds{250}, std::chrono::milliseconds{500}};
+    silence_limits with_subscription{std::chrono::seconds{2}, std::chrono::seconds{3}};
 };
 
+/// @brief What waits on a connection.
+enum class connection_demand { subscription, calls };
+
 /// @brief What the owner of a connection does next.
 enum class connection_advice { nothing, ping, open_fresh };
 
@@ -51,8 +60,8 @@
     /// @brief Work was sent while nothing was outstanding: silence counts from now.
     void on_first_outstanding(instant now) noexcept;
 
-    /// @brief Advice while something is outstanding; to be asked on every tick.
-    [[nodiscard]] connection_advice advise(instant now) noexcept;
+    /// @brief Advice while something waits on the connection; to be asked on every tick.
+    [[nodiscard]] connection_advice advise(connection_demand demand, instant now) noexcept;
 
     [[nodiscard]] connection_state state() const noexcept { return this->machine.state(); }
 
--- a/src/chervilturn/node/links_task.cpp
+++ b/src/chervilturn/node/links_task.cpp
@@ -346,7 +346,9 @@
         }
         return;
     }
-    switch (checked.health.advise(now)) {
+    const auto demand =
+        checked.outstanding.empty() ? connection_demand::subscription : connection_demand::calls;
+    switch (checked.health.advise(demand, now)) {
     case connection_advice::ping:
         this->send_on(checked, ping{});
         break;
--- /dev/null
+++ b/test/chervilturn/call/retry_test.cpp
@@ -0,0 +1,85 @@
+// Retries: only where they are safe, within a budget, and without multiplying through nested calls.
+#include "chervilturn/call/retry.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace chervilturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+answer ended(outcome result, reason why) {
+    return refuse({}, result, why);
+}
+
+// Attempts that reach the deepest level when every attempt fails but the budget is never short.
+std::uint32_t attempts_at_depth(std::uint32_t levels, std::uint32_t extra) {
+    if (levels == 0) {
+        return 1;
+    }
+    call_plan plan{true, extra};
+    retry_budget endless{{.earned_per_call = 1.0, .capacity = 1e9}};
+    std::uint32_t total = 0;
+    while (true) {
+        total += attempts_at_depth(levels - 1, plan.extra_for_nested());
+        plan.count_attempt();
+        const auto next = plan.decide(ended(outcome::not_run, reason::queue_full), 1s, endless);
+        if (next == next_step::answer_caller) {
+            return total;
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("a call is tried again only where that is safe") {
+    retry_budget budget{{}};
+    call_plan idempotent{true, 2};
+    call_plan once{false, 2};
+
+    SECTION("after a true not-run every call is") {
+        CHECK(once.decide(ended(outcome::not_run, reason::queue_full), 1s, budget) == next_step::try_again);
+    }
+    SECTION("after an unknown end only an idempotent one is") {
+        CHECK(idempotent.decide(ended(outcome::unknown, reason::connection_lost), 1s, budget) ==
+              next_step::try_again);
+        CHECK(once.decide(ended(outcome::unknown, reason::connection_lost), 1s, budget) ==
+              next_step::answer_caller);
+    }
+    SECTION("never after its deadline") {
+        CHECK(idempotent.decide(ended(outcome::not_run, reason::queue_full), 0s, budget) ==
+              next_step::answer_caller);
+    }
+    SECTION("never where every owner would say the same") {
+        CHECK(idempotent.decide(ended(outcome::not_run, reason::outside_home_regions), 1s, budget) ==
+              next_step::answer_caller);
+    }
+    SECTION("twice at most") {
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            CHECK(idempotent.decide(ended(outcome::not_run, reason::queue_full), 1s, budget) ==
+                  next_step::try_again);
+        }
+        CHECK(idempotent.decide(ended(outcome::not_run, reason::queue_full), 1s, budget) ==
+              next_step::answer_caller);
+    }
+}
+
+TEST_CASE("the budget bounds extra attempts as a share of first ones") {
+    retry_budget budget{{.earned_per_call = 0.1, .capacity = 10.0}};
+    std::uint32_t extra = 0;
+    for (int call = 0; call < 1000; ++call) {
+        budget.count_first_attempt();
+        extra += budget.take() ? 1 : 0;
+        extra += budget.take() ? 1 : 0;
+    }
+    CHECK(extra <= 110);
+    CHECK(extra >= 100);
+}
+
+TEST_CASE("seven nested levels do not multiply attempts") {
+    CHECK(attempts_at_depth(1, default_extra_attempts) == 3);
+    CHECK(attempts_at_depth(7, default_extra_attempts) == 4);
+}
+
+} // namespace chervilturn
