Send waiting calls elsewhere when a backend server falls into a slow spell

Cause: calls that waited at the slow backend server when its spell began, and those that entries sent to try it again, waited there until their deadlines (load_aware p999 1127 ms, one call in 700 late). Ruled out: a longer penalty at entries alone (each entry has to burn calls to learn it); a trickle of one call at a time (a slowdown of all servers would become an outage). Change: while recent answers take more than three times the normal, the owner uses its free slots, refuses to queue and sheds what waits, as true not-runs.

--- a/src/chervilturn/admission/door.cpp
+++ b/src/chervilturn/admission/door.cpp
@@ -25,6 +25,9 @@
         this->in_use.emplace(entry.attempt, std::nullopt);
         return dispatched{};
     }
+    if (this->limit.in_slow_spell()) {
+        return refused{reason::backend_slow};
+    }
     if (now + this->expected_wait() > entry.deadline) {
         return refused{reason::deadline_too_near};
     }
@@ -69,6 +72,11 @@
     for (const auto& entry : this->waiting.expire(now)) {
         leaving.expired.push_back(entry.attempt);
     }
+    if (this->limit.in_slow_spell()) {
+        for (const auto& entry : this->waiting.clear()) {
+            leaving.shed.push_back(entry.attempt);
+        }
+    }
     while (this->has_free_slot()) {
         const auto next = this->waiting.pop();
         if (!next) {
--- a/src/chervilturn/admission/door.hpp
+++ b/src/chervilturn/admission/door.hpp
@@ -36,6 +36,7 @@
 struct departures {
     std::vector<attempt_id> dispatch;
     std::vector<attempt_id> expired;
+    std::vector<attempt_id> shed; // another backend server will be quicker
 };
 
 /// @brief Admission to one backend server. Does no I/O; the owner carries out what it decides.
--- a/src/chervilturn/admission/warm_up.cpp
+++ b/src/chervilturn/admission/warm_up.cpp
@@ -98,6 +98,10 @@
     }
 }
 
+bool warm_up_limit::in_slow_spell() const noexcept {
+    return this->recent_micros > this->normal_micros * slow_factor;
+}
+
 microseconds warm_up_limit::recent_service_time() const noexcept {
     return microseconds{static_cast<std::int64_t>(this->recent_micros)};
 }
--- a/src/chervilturn/admission/warm_up.hpp
+++ b/src/chervilturn/admission/warm_up.hpp
@@ -67,6 +67,9 @@
     /// @brief Smoothed service time at normal latency; zero before the first answer.
     [[nodiscard]] microseconds normal_service_time() const noexcept;
 
+    /// @brief Whether the latest answers took several times the normal.
+    [[nodiscard]] bool in_slow_spell() const noexcept;
+
     /// @brief Service time of the latest answers, slow spells included; zero before the first answer.
     [[nodiscard]] microseconds recent_service_time() const noexcept;
 
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -34,6 +34,7 @@
     backend_unreachable,
     backend_shed,
     backend_draining,
+    backend_slow,
     no_backend_server,
     no_connection,
     retry_budget_spent,
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -484,6 +484,9 @@
     for (const auto& attempt : leaving.expired) {
         this->finish(refuse(attempt, outcome::not_run, reason::deadline_too_near));
     }
+    for (const auto& attempt : leaving.shed) {
+        this->finish(refuse(attempt, outcome::not_run, reason::backend_slow));
+    }
     for (const auto& attempt : leaving.dispatch) {
         this->dispatch(attempt);
     }
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -25,6 +25,7 @@
     case reason::beliefs_unconfirmed:
     case reason::backend_unreachable:
     case reason::backend_draining:
+    case reason::backend_slow:
         return closed_penalty;
     case reason::queue_full:
     case reason::backend_shed:
