--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 constexpr double percent = 100.0;
+constexpr std::uint16_t status_misdirected = 421;
+constexpr std::uint16_t status_unavailable = 503;
 
 [[nodiscard]] std::uint16_t status_for(const answer& ended) {
     constexpr std::uint16_t bad_request = 400;
     constexpr std::uint16_t conflict = 409;
-    constexpr std::uint16_t misdirected = 421;
     constexpr std::uint16_t bad_gateway = 502;
-    constexpr std::uint16_t unavailable = 503;
     constexpr std::uint16_t gateway_timeout = 504;
     if (ended.result == outcome::completed) {
         return ended.status == 0 ? conflict : ended.status;
@@ -25,10 +25,10 @@
         return bad_request;
     }
     if (ended.why == reason::outside_home_regions) {
-        return misdirected;
+        return status_misdirected;
     }
     if (ended.result == outcome::not_run) {
-        return unavailable;
+        return status_unavailable;
     }
     return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
 }
@@ -169,13 +169,15 @@
 
 void entry_task::on_request(std::shared_ptr<http_exchange> exchange) {
     if (this->shutting_down) {
-        auto response = refusal_response(503, outcome::not_run, reason::shutting_down, "the node shuts down");
+        auto response = refusal_response(status_unavailable, outcome::not_run, reason::shutting_down,
+                                         "the node shuts down");
         response.headers.push_back({"connection", "close"});
         exchange->respond(response);
         return;
     }
     if (this->calls.size() >= this->context->settings.limits.max_calls) {
-        this->reject(*exchange, {503, reason::queue_full, "too many calls in progress at this node"});
+        this->reject(*exchange,
+                     {status_unavailable, reason::queue_full, "too many calls in progress at this node"});
         return;
     }
     auto read = read_request({.settings = this->settings.get(), .node = &this->context->settings},
@@ -187,8 +189,8 @@
     auto request = value_of(std::move(read));
     const auto here = this->settings->region_of(this->context->settings.data_centre);
     if (!admits(request.regions, here)) {
-        this->reject(*exchange,
-                     {421, reason::outside_home_regions, "this node is outside the call's home regions"});
+        this->reject(*exchange, {status_misdirected, reason::outside_home_regions,
+                                 "this node is outside the call's home regions"});
         return;
     }
     this->open(std::move(exchange), std::move(request));
@@ -223,10 +225,12 @@
     const auto* target = owner != nullptr && owner->services.contains(made.service)
                              ? &owner->services.at(made.service)
                              : nullptr;
-    const auto* server = target == nullptr ? nullptr
-                         : made.key.given() && !made.idempotent
-                             ? this->choose_key_home(*opened, *owner, *target)
-                             : this->choose(*opened, *owner, *target);
+    const backend_server* server = nullptr;
+    if (target != nullptr && made.key.given() && !made.idempotent) {
+        server = this->choose_key_home(*opened, *owner, *target);
+    } else if (target != nullptr) {
+        server = this->choose(*opened, *owner, *target);
+    }
     if (server != nullptr) {
         this->send(opened, *server);
         return;
--- a/src/chervilturn/node/request_reader.cpp
+++ b/src/chervilturn/node/request_reader.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::uint32_t max_depth = 16;     // of nested calls; deeper ones are taken for a loop
+constexpr std::uint32_t max_depth = 16; // of nested calls; deeper ones are taken for a loop
+constexpr std::int64_t max_extra_attempts = 1000;
 constexpr std::size_t max_key_length = 200; // characters of an idempotency key
 constexpr std::uint16_t status_not_found = 404;
 constexpr std::uint16_t status_misdirected = 421;
@@ -130,40 +131,45 @@
     return std::move(headers);
 }
 
-} // namespace
+/// @brief What settings say about the names in a request.
+struct found_names {
+    const service* target = nullptr;
+    const workspace* customer = nullptr;
+    const route* matched = nullptr;
+};
 
-result<accepted_request, request_error> read_request(const request_place& place, http_request&& request) {
-    const auto& headers = request.headers;
-    if (place.settings->teams.empty()) {
-        return request_error{status_unavailable, reason::no_backend_server, "no settings accepted yet"};
-    }
-    if (!accepts_host(*place.node, find_header(headers, "host"))) {
-        return request_error{status_misdirected, reason::bad_request,
-                             "header host does not name this node; it listens on " +
-                                 to_string(place.node->callers)};
-    }
-    const auto parts = split(request.target);
-    if (!parts) {
-        return request_error{.message = "path is not /TEAM/SERVICE/..."};
-    }
-    const auto* owner = place.settings->find_team(parts->team);
+[[nodiscard]] result<found_names, request_error> find_names(const model& settings, const split_target& parts,
+                                                            const std::string& customer_name) {
+    const auto* owner = settings.find_team(parts.team);
     if (owner == nullptr) {
-        return not_found("team", parts->team);
+        return not_found("team", parts.team);
     }
-    const auto target = owner->services.find(parts->service);
+    const auto target = owner->services.find(parts.service);
     if (target == owner->services.end()) {
-        return not_found("service", parts->service);
+        return not_found("service", parts.service);
     }
-    const std::string customer_name{find_header(headers, "chervilturn-workspace")};
     const auto customer = owner->workspaces.find(customer_name);
     if (customer == owner->workspaces.end()) {
         return not_found("workspace", customer_name);
     }
-    const auto* matched = match_route(*owner, parts->service, parts->path);
+    const auto* matched = match_route(*owner, parts.service, parts.path);
     if (matched == nullptr) {
-        return not_found("route for path", parts->path);
+        return not_found("route for path", parts.path);
     }
-    const auto deadline = read_deadline(*place.node, headers);
+    return found_names{&target->second, &customer->second, matched};
+}
+
+/// @brief What a request says about its call in headers.
+struct call_headers {
+    microseconds deadline{};
+    idempotency_key key;
+    std::uint32_t extra_attempts = 0;
+    std::uint32_t depth = 0;
+};
+
+[[nodiscard]] result<call_headers, request_error> read_call_headers(const node_settings& node,
+                                                                    const std::vector<header>& headers) {
+    const auto deadline = read_deadline(node, headers);
     if (!succeeded(deadline)) {
         return error_of(deadline);
     }
@@ -171,33 +177,71 @@
     if (!succeeded(key)) {
         return error_of(key);
     }
-    const auto extra = read_number(headers, "chervilturn-extra-attempts", {0, 1000}, 1000);
-    const auto depth = read_number(headers, "chervilturn-depth", {0, max_depth}, 0);
+    const auto extra =
+        read_number(headers, "chervilturn-extra-attempts", {0, max_extra_attempts}, max_extra_attempts);
     if (!succeeded(extra)) {
         return error_of(extra);
     }
+    const auto depth = read_number(headers, "chervilturn-depth", {0, max_depth}, 0);
     if (!succeeded(depth)) {
         return error_of(depth);
     }
+    return call_headers{.deadline = value_of(deadline),
+                        .key = value_of(std::move(key)),
+                        .extra_attempts = static_cast<std::uint32_t>(value_of(extra)),
+                        .depth = static_cast<std::uint32_t>(value_of(depth))};
+}
+
+[[nodiscard]] accepted_request assemble(http_request&& request, split_target&& parts,
+                                        const found_names& names, call_headers&& given) {
     accepted_request accepted;
-    accepted.regions = common_regions(common_regions(customer->second.home_regions, matched->home_regions),
-                                      target->second.home_regions);
-    accepted.retry_percent = customer->second.retry_percent;
-    accepted.extra_attempts = static_cast<std::uint32_t>(value_of(extra));
-    accepted.made.team = parts->team;
-    accepted.made.workspace = customer_name;
-    accepted.made.service = parts->service;
-    accepted.made.route = matched->name;
-    accepted.made.urgent = matched->urgent;
-    accepted.made.idempotent = matched->idempotent;
-    accepted.made.remaining = value_of(deadline);
-    accepted.made.depth = static_cast<std::uint32_t>(value_of(depth));
-    accepted.made.key = value_of(std::move(key));
-    accepted.made.method = std::move(request.method);
-    accepted.made.target = parts->path;
-    accepted.made.headers = forwarded_headers(std::move(request.headers));
-    accepted.made.body = std::move(request.body);
+    accepted.regions =
+        common_regions(common_regions(names.customer->home_regions, names.matched->home_regions),
+                       names.target->home_regions);
+    accepted.retry_percent = names.customer->retry_percent;
+    accepted.extra_attempts = given.extra_attempts;
+    auto& made = accepted.made;
+    made.team = std::move(parts.team);
+    made.workspace = names.customer->name;
+    made.service = std::move(parts.service);
+    made.route = names.matched->name;
+    made.urgent = names.matched->urgent;
+    made.idempotent = names.matched->idempotent;
+    made.remaining = given.deadline;
+    made.depth = given.depth;
+    made.key = std::move(given.key);
+    made.method = std::move(request.method);
+    made.target = std::move(parts.path);
+    made.headers = forwarded_headers(std::move(request.headers));
+    made.body = std::move(request.body);
     return accepted;
 }
 
+} // namespace
+
+result<accepted_request, request_error> read_request(const request_place& place, http_request&& request) {
+    if (place.settings->teams.empty()) {
+        return request_error{status_unavailable, reason::no_backend_server, "no settings accepted yet"};
+    }
+    if (!accepts_host(*place.node, find_header(request.headers, "host"))) {
+        return request_error{status_misdirected, reason::bad_request,
+                             "header host does not name this node; it listens on " +
+                                 to_string(place.node->callers)};
+    }
+    auto parts = split(request.target);
+    if (!parts) {
+        return request_error{.message = "path is not /TEAM/SERVICE/..."};
+    }
+    const std::string customer_name{find_header(request.headers, "chervilturn-workspace")};
+    const auto names = find_names(*place.settings, *parts, customer_name);
+    if (!succeeded(names)) {
+        return error_of(names);
+    }
+    auto given = read_call_headers(*place.node, request.headers);
+    if (!succeeded(given)) {
+        return error_of(given);
+    }
+    return assemble(std::move(request), std::move(*parts), value_of(names), value_of(std::move(given)));
+}
+
 } // namespace chervilturn
