Take three slow answers in a row for a slow spell, not one long call

Ruled out: a longer average (it only moves the point where one long call tips it). Change: a spell begins with three answers in a row slower than three times the normal and ends with one that is not. The unit test's section for the spell states three answers instead of one, and a new one holds that one is no spell.

--- a/src/chervilturn/admission/warm_up.cpp
+++ b/src/chervilturn/admission/warm_up.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr double slow_factor = 3.0;            // an answer this many times the normal stops growth
-constexpr double cold_factor = 8.0;            // an answer this many times the normal hints at a cold start
-constexpr std::uint32_t cold_answer_count = 3; // slow answers in a row that count as a cold start
+constexpr double slow_factor = 3.0;       // an answer this many times the normal stops growth
+constexpr double cold_factor = 8.0;       // an answer this many times the normal hints at a cold start
+constexpr std::uint32_t spell_length = 3; // answers in a row that make a slow spell or a cold start
 constexpr std::uint32_t max_patience = 64;
 constexpr double falling_weight = 0.1; // of a faster answer in the smoothed service time
 constexpr double recent_weight = 0.3;  // of an answer in the recent service time
@@ -40,18 +40,17 @@
     this->machine.apply(backend_event::answered);
     const double normal = this->normal_micros;
     this->learn_normal(micros);
-    if (normal > 0.0 && micros > normal * cold_factor) {
-        if (++this->slow_answers >= cold_answer_count) {
-            this->note_relapse();
-            this->become_cold();
-        }
-        return;
+    const bool slow = normal > 0.0 && micros > normal * slow_factor;
+    const bool cold = normal > 0.0 && micros > normal * cold_factor;
+    this->slow_answers = slow ? this->slow_answers + 1 : 0;
+    this->cold_answers = cold ? this->cold_answers + 1 : 0;
+    if (this->cold_answers >= spell_length) {
+        this->note_relapse();
+        this->become_cold();
     }
-    this->slow_answers = 0;
-    if (normal > 0.0 && micros > normal * slow_factor) {
-        return;
+    if (!slow) {
+        this->grow();
     }
-    this->grow();
 }
 
 void warm_up_limit::on_lost() noexcept {
@@ -64,6 +63,7 @@
 }
 
 void warm_up_limit::on_restarted() noexcept {
+    this->slow_answers = 0;
     this->become_cold();
 }
 
@@ -99,7 +99,7 @@
 }
 
 bool warm_up_limit::in_slow_spell() const noexcept {
-    return this->recent_micros > this->normal_micros * slow_factor;
+    return this->slow_answers >= spell_length;
 }
 
 microseconds warm_up_limit::recent_service_time() const noexcept {
@@ -110,7 +110,7 @@
     this->machine.apply(backend_event::cold_sign);
     this->allowed = std::min(this->options.cold_slots, this->options.slots);
     this->normal_answers = 0;
-    this->slow_answers = 0;
+    this->cold_answers = 0;
 }
 
 void warm_up_limit::learn_normal(double micros) noexcept {
--- a/src/chervilturn/admission/warm_up.hpp
+++ b/src/chervilturn/admission/warm_up.hpp
@@ -67,7 +67,7 @@
     /// @brief Smoothed service time at normal latency; zero before the first answer.
     [[nodiscard]] microseconds normal_service_time() const noexcept;
 
-    /// @brief Whether the latest answers took several times the normal.
+    /// @brief Whether the latest answers all took several times the normal. One long call is no spell.
     [[nodiscard]] bool in_slow_spell() const noexcept;
 
     /// @brief Service time of the latest answers, slow spells included; zero before the first answer.
@@ -84,7 +84,8 @@
     std::uint32_t allowed;            // between cold_slots and slots
     std::uint32_t normal_answers = 0; // since the limit last changed
     std::uint32_t patience = 1;       // factor on answers_per_slot; doubles with each relapse while warming
-    std::uint32_t slow_answers = 0;   // in a row
+    std::uint32_t slow_answers = 0;   // in a row, slower than normal several times over
+    std::uint32_t cold_answers = 0;   // in a row, slow enough for a cold start
     double normal_micros = 0.0;       // smoothed; 0 before the first answer
     double recent_micros = 0.0;       // smoothed over few answers; 0 before the first
 };
--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -85,7 +85,14 @@
         CHECK(std::holds_alternative<refused>(gate.admit(entry_of(103, "a", now + 35ms), now)));
         CHECK(std::holds_alternative<queued>(gate.admit(entry_of(104, "a", now + 100ms), now)));
     }
+    SECTION("one long call is no spell") {
+        run(200ms);
+        REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(100, "a", now + 9s), now)));
+        CHECK(std::holds_alternative<queued>(gate.admit(entry_of(101, "a", now + 9s), now)));
+    }
     SECTION("calls that wait when it begins are shed, new ones are refused, a free slot is still used") {
+        run(200ms);
+        run(200ms);
         REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(100, "a", now + 9s), now)));
         REQUIRE(std::holds_alternative<queued>(gate.admit(entry_of(101, "a", now + 9s), now)));
         gate.complete({1, 100}, 200ms);
