Move the talk with the backend server out of the owner's task

Change: backend_caller sends admitted calls, tells the door how they ended, and makes answers of responses.

--- a/src/chervilturn/node/fwd.hpp
+++ b/src/chervilturn/node/fwd.hpp
@@ -5,6 +5,9 @@
 
 struct node_context;
 class entry_task;
+class backend_caller;
+class backend_probe;
+class key_desk;
 class owner_task;
 class links_task;
 class peer_server_task;
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -13,9 +13,7 @@
 constexpr microseconds tick_period = std::chrono::milliseconds{10};
 constexpr microseconds reply_margin = std::chrono::milliseconds{5}; // before the entry's own deadline
 constexpr std::int64_t margin_share = 10; // the margin takes at most this part of the remaining time
-constexpr microseconds cut_window = std::chrono::milliseconds{100};
 constexpr microseconds long_pause = std::chrono::seconds{19}; // settings may have moved keys away and back
-constexpr std::uint16_t status_unavailable = 503;
 
 [[nodiscard]] region_set regions_of(const team& owner, const call& checked) {
     region_set regions;
@@ -47,10 +45,8 @@
            [this](call&& received, const key_decision& decision) {
                this->on_key_settled(std::move(received), decision);
            }},
-      backend{*shared.loop, shared.settings.backend_server,
-              http_client_options{.max_body_bytes = shared.settings.limits.max_body_bytes}},
-      pauses{now_monotonic()}, tick{*shared.loop, [this] { this->advance(); }}, probe{shared, this->backend,
-                                                                                      this->gate.backend()} {
+      backend{shared, this->gate}, pauses{now_monotonic()}, tick{*shared.loop, [this] { this->advance(); }},
+      probe{shared, this->backend.http(), this->gate.backend()} {
     shared.boxes->owner.on_message([this](owner_message&& received) {
         this->watch_for_pause();
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
@@ -117,7 +113,7 @@
         return;
     }
     if (cancelled.running && cancelled.received.idempotent) {
-        this->backend.give_up(cancelled.exchange);
+        this->backend.cancel(cancelled.running_call);
     }
 }
 
@@ -291,7 +287,7 @@
         this->key_carriers[scoped_key(received).text] = attempt;
     }
     owned_call owned{
-        .received = std::move(received), .deadline = wanted.deadline, .exchange = {}, .repeats = {}};
+        .received = std::move(received), .deadline = wanted.deadline, .running_call = {}, .repeats = {}};
     this->calls.emplace(attempt, std::move(owned));
     if (const auto* waiting = std::get_if<queued>(&admitted)) {
         if (waiting->displaced) {
@@ -313,114 +309,24 @@
         this->finish(refuse(attempt, outcome::not_run, why));
         return;
     }
-    const auto remaining = elapsed(now, owned.deadline);
     owned.running = true;
-    owned.dispatched_at = now;
-    http_request request{.method = owned.received.method,
-                         .target = owned.received.target,
-                         .headers = owned.received.headers,
-                         .body = owned.received.body};
-    const auto whole_milliseconds = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
-    request.headers.push_back({"chervilturn-deadline-ms", std::to_string(whole_milliseconds)});
-    request.headers.push_back({"chervilturn-extra-attempts", std::to_string(owned.received.extra_attempts)});
-    request.headers.push_back({"chervilturn-depth", std::to_string(owned.received.depth + 1)});
-    request.headers.push_back({"chervilturn-workspace", owned.received.workspace});
-    if (owned.received.key.given()) {
-        request.headers.push_back({"idempotency-key", owned.received.key.text});
-    }
-    owned.exchange = this->backend.send(request, remaining, [this, attempt](http_result result) {
-        this->on_response(attempt, std::move(result));
-    });
+    owned.running_call =
+        this->backend.run(owned.received, elapsed(now, owned.deadline),
+                          [this](answer ended) { this->on_backend_answer(std::move(ended)); });
 }
 
-void owner_task::on_response(const attempt_id& attempt, http_result result) {
+void owner_task::on_backend_answer(answer ended) {
     this->watch_for_pause();
-    const auto found = this->calls.find(attempt);
+    const auto found = this->calls.find(ended.attempt);
     if (found == this->calls.end()) {
         return;
     }
-    this->finish(this->to_answer(found->second, std::move(result)));
+    const auto* server = this->place_of(found->second.received).server;
+    ended.backend_server = server == nullptr ? std::string{} : server->name;
+    this->finish(std::move(ended));
     this->advance();
 }
 
-answer owner_task::to_answer(const owned_call& ended, http_result&& result) {
-    const auto now = now_monotonic();
-    answer made;
-    made.attempt = ended.received.attempt;
-    made.service_time = elapsed(ended.dispatched_at, now);
-    made.backend_server = this->place_of(ended.received).server == nullptr
-                              ? std::string{}
-                              : this->place_of(ended.received).server->name;
-    if (const auto* failure = std::get_if<http_failure>(&result)) {
-        this->on_failure(*failure, made);
-        return made;
-    }
-    auto& response = std::get<http_response>(result);
-    if (response.status == status_unavailable &&
-        find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run)) {
-        this->gate.release(made.attempt);
-        made.result = outcome::not_run;
-        made.why = reason::backend_shed;
-        return made;
-    }
-    this->gate.complete(made.attempt, made.service_time);
-    made.result = outcome::completed;
-    made.status = response.status;
-    made.body = std::move(response.body);
-    for (auto& item : response.headers) {
-        if (!is_hop_by_hop(item.name)) {
-            made.headers.push_back(std::move(item));
-        }
-    }
-    return made;
-}
-
-void owner_task::on_failure(http_failure failure, answer& ended) {
-    ended.result = outcome::unknown;
-    switch (failure) {
-    case http_failure::refused:
-        this->gate.release(ended.attempt);
-        this->gate.backend().on_lost();
-        ended.result = outcome::not_run;
-        ended.why = reason::backend_unreachable;
-        break;
-    case http_failure::timed_out:
-        this->gate.abandon(ended.attempt, now_monotonic());
-        ended.why = reason::timed_out;
-        break;
-    case http_failure::cancelled:
-        this->gate.abandon(ended.attempt, now_monotonic());
-        ended.why = reason::cancelled;
-        break;
-    case http_failure::cut:
-        this->note_cut_connection(now_monotonic());
-        this->gate.release(ended.attempt);
-        ended.why = reason::answer_incomplete;
-        break;
-    case http_failure::unframed:
-        this->gate.release(ended.attempt);
-        ended.why = reason::answer_incomplete;
-        break;
-    case http_failure::too_large:
-        this->gate.release(ended.attempt);
-        ended.why = reason::answer_too_large;
-        break;
-    }
-}
-
-// When half of the running calls lose their connections at once, the backend server has restarted.
-void owner_task::note_cut_connection(instant now) {
-    if (now - this->cut_at > cut_window) {
-        this->cut_connections = 0;
-        this->running_before_cuts = this->gate.running();
-    }
-    this->cut_at = now;
-    ++this->cut_connections;
-    if (std::size_t{2} * this->cut_connections >= this->running_before_cuts) {
-        this->gate.backend().on_restarted();
-    }
-}
-
 void owner_task::refuse_waiting(reason why) {
     for (const auto& entry_waiting : this->gate.clear_queue()) {
         this->finish(refuse(entry_waiting.attempt, outcome::not_run, why));
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -4,11 +4,11 @@
 #include "chervilturn/admission/attempt_record.hpp"
 #include "chervilturn/admission/door.hpp"
 #include "chervilturn/membership/pause_detector.hpp"
+#include "chervilturn/node/backend_caller.hpp"
 #include "chervilturn/node/backend_probe.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/key_desk.hpp"
 #include "chervilturn/node/messages.hpp"
-#include "chervilturn/transport/http.hpp"
 
 #include <unordered_map>
 
@@ -26,10 +26,9 @@
     struct owned_call {
         call received;
         instant deadline;
-        instant dispatched_at{};
         bool running = false;
-        std::weak_ptr<http_client::exchange> exchange; // while running
-        std::vector<attempt_id> repeats;               // attempts with the same idempotency key
+        backend_caller::running_call running_call; // while running
+        std::vector<attempt_id> repeats;           // attempts with the same idempotency key
     };
 
     struct place {
@@ -57,10 +56,7 @@
     void join_repeat(const call& received);
     void admit(call&& received);
     void dispatch(const attempt_id& attempt);
-    void on_response(const attempt_id& attempt, http_result result);
-    [[nodiscard]] answer to_answer(const owned_call& ended, http_result&& result);
-    void on_failure(http_failure failure, answer& ended);
-    void note_cut_connection(instant now);
+    void on_backend_answer(answer ended);
     void refuse_waiting(reason why);
     void recheck_waiting();
     void finish(answer ended);
@@ -75,13 +71,10 @@
     key_desk keys;
     std::unordered_map<attempt_id, owned_call, attempt_id_hash> calls;
     std::unordered_map<std::string, attempt_id> key_carriers; // attempt in progress of each key
-    http_client backend;
+    backend_caller backend;
     pause_detector pauses;
     bool beliefs_in_doubt = true; // nothing is dispatched while in doubt
     bool shutting_down = false;
-    instant cut_at{};
-    std::uint32_t cut_connections = 0; // in a short time
-    std::size_t running_before_cuts = 0;
     timer tick;
     backend_probe probe;
 };
