--- a/src/chervilturn/admission/key_record.cpp
+++ b/src/chervilturn/admission/key_record.cpp
@@ -48,29 +48,21 @@
     return this->fresh_if_room();
 }
 
-key_decision key_record::decide_after_asking(const idempotency_key& key, const home_period& period,
-                                             const std::vector<key_report>& reports,
-                                             const clock_reading& now) {
+key_decision key_record::decide_after_asking(const idempotency_key& key,
+                                             const std::vector<key_report>& reports) {
     const auto known = this->keys.find(key.text);
     if (known != this->keys.end() && known->second.state != key_state::fenced) {
         return recall(known->second);
     }
-    bool all_reached = true;
     for (const auto& report : reports) {
-        switch (report.finding) {
-        case key_finding::answered:
+        if (report.finding == key_finding::answered) {
             return key_answered{report.kept};
-        case key_finding::uncertain:
-            return key_refused{outcome::unknown, reason::key_record_young};
-        case key_finding::unreachable:
-            all_reached = false;
-            break;
-        case key_finding::fenced:
-            break;
         }
     }
-    const auto settled_since = later_of(period.since, later_of(this->started, period.known_since));
-    if (!all_reached && !this->is_newer(key, settled_since, this->options.move_bound, now)) {
+    const bool all_fenced = std::all_of(reports.begin(), reports.end(), [](const key_report& report) {
+        return report.finding == key_finding::fenced;
+    });
+    if (!all_fenced) {
         return key_refused{outcome::unknown, reason::key_record_young};
     }
     return this->fresh_if_room();
--- a/src/chervilturn/admission/key_record.hpp
+++ b/src/chervilturn/admission/key_record.hpp
@@ -67,9 +67,10 @@
                                       const clock_reading& now);
 
     /// @brief Decides on a key after all its earlier homes were asked.
-    [[nodiscard]] key_decision decide_after_asking(const idempotency_key& key, const home_period& period,
-                                                   const std::vector<key_report>& reports,
-                                                   const clock_reading& now);
+    ///
+    /// One that cannot be reached may hold older settings behind a partition, so the key stays unknown.
+    [[nodiscard]] key_decision decide_after_asking(const idempotency_key& key,
+                                                   const std::vector<key_report>& reports);
 
     /// @brief Answers a later home, and never runs the key again unless that home gives it back.
     [[nodiscard]] key_report report_and_fence(const idempotency_key& key, const address& later_home,
--- a/src/chervilturn/node/key_desk.cpp
+++ b/src/chervilturn/node/key_desk.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr microseconds reply_timeout = std::chrono::milliseconds{400};
-constexpr microseconds home_memory = std::chrono::minutes{11}; // longer than keys are retained
+constexpr microseconds home_memory = std::chrono::minutes{70}; // longer than regions lose each other
 
 } // namespace
 
@@ -30,6 +30,10 @@
 
 void key_desk::observe(const model& settings) {
     const auto now = read_clocks();
+    this->listed_hosts.clear();
+    for (const auto& [peers, listed] : settings.hosts) {
+        this->listed_hosts.insert(peers);
+    }
     for (const auto& [team_name, owner] : settings.teams) {
         for (const auto& [name, customer] : owner.workspaces) {
             this->bindings.observe(team_name + "/workspaces/" + name, customer.home_regions, now);
@@ -55,7 +59,7 @@
     }
     const auto decision = this->record.decide(key, period, read_clocks());
     if (const auto* wanted = std::get_if<key_ask>(&decision)) {
-        this->ask(std::move(carrier), std::move(period), *wanted);
+        this->ask(std::move(carrier), *wanted);
         return;
     }
     this->settled(std::move(carrier), decision);
@@ -109,28 +113,37 @@
     }
 }
 
-void key_desk::ask(call&& carrier, home_period period, const key_ask& wanted) {
+// A host that the platform no longer lists is gone by the operators' word and runs nothing more.
+void key_desk::ask(call&& carrier, const key_ask& wanted) {
     const auto number = ++this->inquiries;
     const auto now = now_monotonic();
+    const auto deadline = now + carrier.remaining;
+    held_call waiting{.carrier = std::move(carrier),
+                      .reports = {},
+                      .awaited = 0,
+                      .deadline = deadline,
+                      .reply_by = std::min(now + reply_timeout, deadline)};
     for (const auto& earlier : wanted.earlier) {
-        this->context->boxes->links.post(send_key_inquiry{
-            earlier,
-            {.number = number, .key = scoped_key(carrier), .home = this->context->settings.reachable_at}});
+        if (!this->listed_hosts.contains(earlier)) {
+            continue;
+        }
+        ++waiting.awaited;
+        const key_inquiry asked{.number = number,
+                                .key = scoped_key(waiting.carrier),
+                                .home = this->context->settings.reachable_at};
+        this->context->boxes->links.post(send_key_inquiry{earlier, asked});
+    }
+    const bool nobody_left = waiting.awaited == 0;
+    this->held.emplace(number, std::move(waiting));
+    if (nobody_left) {
+        this->conclude(number);
     }
-    const auto deadline = now + carrier.remaining;
-    this->held.emplace(number, held_call{.carrier = std::move(carrier),
-                                         .period = std::move(period),
-                                         .reports = {},
-                                         .awaited = wanted.earlier.size(),
-                                         .deadline = deadline,
-                                         .reply_by = std::min(now + reply_timeout, deadline)});
 }
 
 void key_desk::conclude(std::uint64_t number) {
     auto waiting = std::move(this->held.at(number));
     this->held.erase(number);
-    const auto decision = this->record.decide_after_asking(scoped_key(waiting.carrier), waiting.period,
-                                                           waiting.reports, read_clocks());
+    const auto decision = this->record.decide_after_asking(scoped_key(waiting.carrier), waiting.reports);
     waiting.carrier.remaining = elapsed(now_monotonic(), waiting.deadline);
     this->settled(std::move(waiting.carrier), decision);
 }
--- a/src/chervilturn/node/key_desk.hpp
+++ b/src/chervilturn/node/key_desk.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace chervilturn {
 
@@ -54,14 +55,13 @@
   private:
     struct held_call {
         call carrier;
-        home_period period;
         std::vector<key_report> reports;
         std::size_t awaited = 0; // replies still to come
         instant deadline;        // of the call
         instant reply_by;
     };
 
-    void ask(call&& carrier, home_period period, const key_ask& wanted);
+    void ask(call&& carrier, const key_ask& wanted);
     void conclude(std::uint64_t number);
 
     const node_context* context;
@@ -69,6 +69,7 @@
     key_record record;
     std::map<std::string, home_history> homes; // by "team/service"
     binding_history bindings;
+    std::set<address> listed_hosts;          // peer addresses in the host list
     std::map<std::uint64_t, held_call> held; // by inquiry number
     std::uint64_t inquiries = 0;
 };
