--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -151,9 +151,9 @@
 TEST_CASE("a backend server warms up by answers, not by time") {
     const instant now{1s};
     door gate{{.warm_up = {.slots = 4, .cold_slots = 1, .answers_per_slot = 2}, .max_queue = 100}};
-    const auto answer_calls = [&gate, now](int count, microseconds service_time) {
-        for (int number = 0; number < count; ++number) {
-            const auto entry = entry_of(static_cast<std::uint64_t>(100 + number), "a", now + 1s);
+    const auto answer_calls = [&gate, now](std::uint64_t count, microseconds service_time) {
+        for (std::uint64_t number = 0; number < count; ++number) {
+            const auto entry = entry_of(100 + number, "a", now + 1s);
             REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry, now)));
             gate.complete(entry.attempt, service_time);
         }
--- a/test/chervilturn/admission/key_record_test.cpp
+++ b/test/chervilturn/admission/key_record_test.cpp
@@ -190,6 +190,7 @@
     random_source random{seed};
     const std::vector<address> nodes{{"10.0.0.1", 1}, {"10.0.0.2", 1}, {"10.0.0.3", 1}};
     std::vector<home_candidate> members;
+    members.reserve(nodes.size());
     for (const auto& node : nodes) {
         members.push_back({node, "capital"});
     }
