--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -1,48 +1,25 @@
 // Wiring and shutdown of a node.
 #include "chervilturn/node/node.hpp"
 
-#include "chervilturn/core/state_chart.hpp"
 #include "chervilturn/node/control_task.hpp"
 #include "chervilturn/node/entry_task.hpp"
 #include "chervilturn/node/links_task.hpp"
 #include "chervilturn/node/operators_task.hpp"
 #include "chervilturn/node/owner_task.hpp"
 #include "chervilturn/node/peer_server_task.hpp"
+#include "chervilturn/node/shutdown.hpp"
 #include "chervilturn/observe/log.hpp"
 
 #include <csignal>
-#include <cstdlib>
 
 namespace chervilturn {
 
-enum class shutdown_state { serving, draining, stopped };
-enum class shutdown_event { stop_requested, work_finished, grace_expired };
-
-template<> struct enumeration_names<shutdown_state> {
-    static constexpr std::array<std::string_view, 3> names{"serving", "draining", "stopped"};
-};
-
-template<> struct enumeration_names<shutdown_event> {
-    static constexpr std::array<std::string_view, 3> names{"stop_requested", "work_finished",
-                                                           "grace_expired"};
-};
-
 namespace {
 
 constexpr microseconds drain_check_period = std::chrono::milliseconds{20};
 // Peers may still have calls on the way when this node finishes its last one.
 constexpr std::uint32_t quiet_checks_before_stop = 10;
 
-using shutdown_chart = state_chart<shutdown_state, shutdown_event>;
-
-[[nodiscard]] const shutdown_chart& default_shutdown_chart() {
-    static const auto parsed = shutdown_chart::parse(chart_text::shutdown);
-    if (!succeeded(parsed)) {
-        std::abort();
-    }
-    return value_of(parsed);
-}
-
 [[nodiscard]] node_context make_context(event_loop& loop, node_settings&& settings, metrics& measured,
                                         node_mailboxes& boxes) {
     std::random_device device;
@@ -76,7 +53,7 @@
     peer_server_task peers;
     entry_task entry;
     operators_task operators;
-    state_machine<shutdown_state, shutdown_event> shutdown;
+    shutdown_machine shutdown;
     instant stop_by{};
     std::uint32_t quiet_checks = 0;
     timer drain_check;
--- /dev/null
+++ b/src/chervilturn/node/shutdown.cpp
@@ -0,0 +1,16 @@
+// The embedded chart of shutdowns.
+#include "chervilturn/node/shutdown.hpp"
+
+#include <cstdlib>
+
+namespace chervilturn {
+
+const shutdown_chart& default_shutdown_chart() {
+    static const auto parsed = shutdown_chart::parse(chart_text::shutdown);
+    if (!succeeded(parsed)) {
+        std::abort();
+    }
+    return value_of(parsed);
+}
+
+} // namespace chervilturn
--- a/test/chervilturn/core/state_chart_test.cpp
+++ b/test/chervilturn/core/state_chart_test.cpp
@@ -1,6 +1,7 @@
 // State charts: every chart of the build is valid and every transition does what its file says.
 #include "chervilturn/admission/warm_up.hpp"
 #include "chervilturn/membership/connection_health.hpp"
+#include "chervilturn/node/shutdown.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -32,6 +33,9 @@
     SECTION("the connection's chart covers its transitions") {
         walk_every_transition(default_connection_chart());
     }
+    SECTION("the shutdown's chart covers its transitions") {
+        walk_every_transition(default_shutdown_chart());
+    }
     SECTION("a machine follows the chart and ignores events that its state does not handle") {
         connection_machine machine{default_connection_chart()};
         CHECK(machine.state() == connection_state::connecting);
