Count readers of the platform in one place of the scenario language

Cause: platform_rate, settings_spread and relays_dead each held the same loop. Ruled out: merging the scripts (they prove different promises). Change: fleet:readers(); every check and bound stays as it was. Conclusion: behaviour is unchanged.

--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -203,6 +203,13 @@
   return page.status == 200 and parse(page.body) or nil
 end
 
+-- Nodes that read the platform themselves.
+function fleet_methods:readers()
+  local readers = 0
+  for _, node in ipairs(self.order) do readers = readers + (self:status(node).control.reader and 1 or 0) end
+  return readers
+end
+
 function fleet_methods:metric(node, name)
   local text = http { address = address_of(node.operators), target = "/metrics" }.body
   local value = text:match("\nchervilturn_" .. name:gsub("[%-{}=\"]", "%%%0") .. " (%S+)")
--- a/test/scenarios/platform_rate.lua
+++ b/test/scenarios/platform_rate.lua
@@ -4,11 +4,7 @@
     services = { passports = { ["capital-a"] = count } },
     routes = { lookup = { service = "passports", idempotent = true } } }
   f:start()
-  wait_until("two nodes read the platform and no more", settings_bound, function()
-    local readers = 0
-    for _, node in ipairs(f.order) do readers = readers + (f:status(node).control.reader and 1 or 0) end
-    return readers == 2
-  end)
+  wait_until("two nodes read the platform and no more", settings_bound, function() return f:readers() == 2 end)
   local before = f:platform_reads()
   f:publish("teams/teranga/workspaces/extra", "{}")
   wait_until("the change is known everywhere", settings_bound, function()
--- a/test/scenarios/relays_dead.lua
+++ b/test/scenarios/relays_dead.lua
@@ -4,11 +4,7 @@
   routes = { lookup = { service = "passports", idempotent = true } } }
 f:start()
 local survivors, dead = {}, 0
-wait_until("two nodes of each data centre read the platform", settings_bound, function()
-  local readers = 0
-  for _, node in ipairs(f.order) do readers = readers + (f:status(node).control.reader and 1 or 0) end
-  return readers == 4
-end)
+wait_until("two nodes of each data centre read the platform", settings_bound, function() return f:readers() == 4 end)
 for _, node in ipairs(f.order) do
   if node.data_centre == "capital-a" and f:status(node).control.reader then
     signal(node.pid, "KILL")
--- a/test/scenarios/settings_spread.lua
+++ b/test/scenarios/settings_spread.lua
@@ -24,8 +24,7 @@
   end
   return true
 end)
-local readers = 0
-for _, node in ipairs(f.order) do readers = readers + (f:status(node).control.reader and 1 or 0) end
+local readers = f:readers()
 check(readers == 4, "two readers in each data centre, not " .. readers)
 
 -- A broken subtree keeps its last accepted revision and disturbs nobody.
