--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -58,12 +58,16 @@
   target @13 :Text;
   headers @14 :List(Header);
   body @15 :Data;
+  requestId @16 :Text;
+  origin @17 :Text;
+  lastResort @18 :Bool;
 }
 
 struct Load {
   inUse @0 :UInt32;
   queued @1 :UInt32;
   limit @2 :UInt32;
+  slowdownPercent @3 :UInt32 = 100;
 }
 
 struct Answer {
@@ -78,6 +82,7 @@
   backendServer @8 :Text;
   ownerHost @9 :Text;
   keyNeverRan @10 :Bool;
+  retryAfterMicros @11 :UInt64;
 }
 
 struct SubtreeRevision {
@@ -104,6 +109,7 @@
   subtree @0 :Text;
   revision @1 :UInt64;
   leaves @2 :List(Leaf);
+  complete @3 :Bool;
 }
 
 # Leaves newer than the receiver's digest; an empty list confirms that the receiver is up to date.
--- a/src/chervilturn/admission/door.cpp
+++ b/src/chervilturn/admission/door.cpp
@@ -1,13 +1,17 @@
 // Decisions of the owner's door.
 #include "chervilturn/admission/door.hpp"
 
+#include <algorithm>
+
 namespace chervilturn {
 
-door::door(const door_options& given) : options{given}, limit{given.warm_up} {}
+door::door(const door_options& given, instant now)
+    : options{given}, limit{given.warm_up}, cold_rate{given.cold, now} {}
 
-void door::configure(const door_options& given) noexcept {
+void door::configure(const door_options& given, instant now) {
     this->options = given;
     this->limit.configure(given.warm_up);
+    this->cold_rate.configure(given.cold, now);
 }
 
 admission door::admit(const queue_entry& entry, instant now) {
@@ -21,15 +25,16 @@
     if (this->limit.state() == backend_state::unreachable) {
         return refused{reason::backend_unreachable};
     }
-    if (this->waiting.size() == 0 && this->has_free_slot()) {
+    if (this->waiting.size() == 0 && this->has_free_slot() && this->cold_rate.take(now)) {
         this->in_use.emplace(entry.attempt, std::nullopt);
         return dispatched{};
     }
-    if (this->limit.in_slow_spell()) {
-        return refused{reason::backend_slow};
+    if (this->limit.in_slow_spell() && !entry.last_resort) {
+        return refused{reason::backend_slow, this->limit.recent_service_time()};
     }
-    if (now + this->expected_wait() > entry.deadline) {
-        return refused{reason::deadline_too_near};
+    const auto wait = this->expected_wait(now);
+    if (now + wait > entry.deadline) {
+        return refused{reason::deadline_too_near, wait};
     }
     if (this->waiting.size() < this->options.max_queue) {
         this->waiting.push(entry);
@@ -42,7 +47,7 @@
     const auto largest = this->waiting.largest_share();
     const double share_after = this->waiting.share_of(entry.workspace, entry.weight) + 1.0 / entry.weight;
     if (largest.workspace == entry.workspace || share_after >= largest.calls_per_weight) {
-        return refused{reason::queue_full};
+        return refused{reason::queue_full, this->limit.recent_service_time()};
     }
     auto displaced = this->waiting.drop_newest(largest.workspace);
     this->waiting.push(entry);
@@ -73,11 +78,11 @@
         leaving.expired.push_back(entry.attempt);
     }
     if (this->limit.in_slow_spell()) {
-        for (const auto& entry : this->waiting.clear()) {
+        for (const auto& entry : this->waiting.take_movable()) {
             leaving.shed.push_back(entry.attempt);
         }
     }
-    while (this->has_free_slot()) {
+    while (this->has_free_slot() && this->waiting.size() > 0 && this->cold_rate.take(now)) {
         const auto next = this->waiting.pop();
         if (!next) {
             break;
@@ -91,17 +96,19 @@
 load_report door::report() const noexcept {
     return {.in_use = static_cast<std::uint32_t>(this->in_use.size()),
             .queued = static_cast<std::uint32_t>(this->waiting.size()),
-            .limit = this->limit.limit()};
+            .limit = this->limit.limit(),
+            .slowdown_percent = this->slowdown_percent};
 }
 
 bool door::has_free_slot() const noexcept {
     return this->in_use.size() < this->limit.limit();
 }
 
-microseconds door::expected_wait() const noexcept {
+microseconds door::expected_wait(instant now) const noexcept {
     const auto slots = static_cast<std::int64_t>(std::max(1U, this->limit.limit()));
     const auto ahead = static_cast<std::int64_t>(this->waiting.size());
-    return this->limit.recent_service_time() * ahead / slots;
+    const auto busy = this->limit.recent_service_time() * ahead / slots;
+    return std::max(busy, this->cold_rate.time_for(this->waiting.size(), now));
 }
 
 void door::free_abandoned(instant now) {
--- a/src/chervilturn/admission/door.hpp
+++ b/src/chervilturn/admission/door.hpp
@@ -1,6 +1,7 @@
 // The only way to the backend server on this host: counts slots exactly, queues, and refuses at once.
 #pragma once
 
+#include "chervilturn/admission/cold_limit.hpp"
 #include "chervilturn/admission/fair_queue.hpp"
 #include "chervilturn/admission/warm_up.hpp"
 
@@ -13,6 +14,7 @@
 /// @brief Construction of a door.
 struct door_options {
     warm_up_options warm_up;
+    cold_limit_options cold{};
     std::uint32_t max_queue = 64;
     microseconds cancel_grace = std::chrono::milliseconds{100}; // a cancelled call may still hold its slot
 };
@@ -28,6 +30,7 @@
 /// @brief The call was not taken and did not run.
 struct refused {
     reason why = reason::queue_full;
+    microseconds retry_after{}; // when room is expected; zero when nothing is known
 };
 
 using admission = std::variant<dispatched, queued, refused>;
@@ -42,9 +45,9 @@
 /// @brief Admission to one backend server. Does no I/O; the owner carries out what it decides.
 class door {
   public:
-    explicit door(const door_options& options);
+    explicit door(const door_options& options, instant now = {});
 
-    void configure(const door_options& options) noexcept;
+    void configure(const door_options& options, instant now);
 
     /// @brief Decides on a new call.
     [[nodiscard]] admission admit(const queue_entry& entry, instant now);
@@ -67,6 +70,11 @@
     /// @brief Takes every waiting call out.
     [[nodiscard]] std::vector<queue_entry> clear_queue() { return this->waiting.clear(); }
 
+    /// @brief The backend server says how long work takes on its host at present; 100 is usual.
+    void learn_slowdown(std::uint32_t percent) noexcept { this->slowdown_percent = percent; }
+
+    [[nodiscard]] cold_limit& cold() noexcept { return this->cold_rate; }
+
     [[nodiscard]] load_report report() const noexcept;
     [[nodiscard]] warm_up_limit& backend() noexcept { return this->limit; }
     [[nodiscard]] const warm_up_limit& backend() const noexcept { return this->limit; }
@@ -75,11 +83,13 @@
   private:
     [[nodiscard]] admission displace_for(const queue_entry& entry);
     [[nodiscard]] bool has_free_slot() const noexcept;
-    [[nodiscard]] microseconds expected_wait() const noexcept;
+    [[nodiscard]] microseconds expected_wait(instant now) const noexcept;
     void free_abandoned(instant now);
 
     door_options options;
     warm_up_limit limit;
+    cold_limit cold_rate;
+    std::uint32_t slowdown_percent = 100; // as the backend server last told
     fair_queue waiting;
     // Dispatched calls. Each holds a slot until it is completed, released, or its grace has passed.
     std::unordered_map<attempt_id, std::optional<instant>, attempt_id_hash> in_use;
--- a/src/chervilturn/admission/fair_queue.cpp
+++ b/src/chervilturn/admission/fair_queue.cpp
@@ -90,6 +90,10 @@
     return this->take_if([](const queue_entry& entry, instant when) { return entry.deadline <= when; }, now);
 }
 
+std::vector<queue_entry> fair_queue::take_movable() {
+    return this->take_if([](const queue_entry& entry, instant) { return !entry.last_resort; }, {});
+}
+
 std::vector<queue_entry> fair_queue::clear() {
     return this->take_if([](const queue_entry&, instant) { return true; }, {});
 }
--- a/src/chervilturn/admission/fair_queue.hpp
+++ b/src/chervilturn/admission/fair_queue.hpp
@@ -19,6 +19,7 @@
     std::string workspace;
     std::uint32_t weight = 1;
     bool urgent = false;
+    bool last_resort = false; // has nowhere else to go
     instant deadline{};
 };
 
@@ -42,6 +43,9 @@
     /// @brief Takes out every call whose deadline has passed.
     [[nodiscard]] std::vector<queue_entry> expire(instant now);
 
+    /// @brief Takes out the calls that another backend server may run.
+    [[nodiscard]] std::vector<queue_entry> take_movable();
+
     /// @brief Takes out all calls.
     [[nodiscard]] std::vector<queue_entry> clear();
 
--- a/src/chervilturn/admission/fwd.hpp
+++ b/src/chervilturn/admission/fwd.hpp
@@ -9,6 +9,8 @@
 class fair_queue;
 struct door_options;
 class door;
+struct cold_limit_options;
+class cold_limit;
 struct key_record_options;
 class home_history;
 class key_record;
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -98,9 +98,12 @@
     std::string route;
     bool urgent = false;
     bool idempotent = false;
+    bool last_resort = false;         // the entry knows of no other backend server for it
     microseconds remaining{};         // until the caller's deadline
     std::uint32_t extra_attempts = 0; // that nested calls may still spend
     std::uint32_t depth = 0;          // nesting level, 0 for a call from outside
+    std::string request_id;           // the caller's name for its request; empty when it gave none
+    std::string origin;               // service on the host where the call entered; empty when unknown
     idempotency_key key;
     std::string method;
     std::string target;
@@ -113,6 +116,7 @@
     std::uint32_t in_use = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 1;
+    std::uint32_t slowdown_percent = 100; // how long work takes on the host at present; 100 is usual
 };
 
 /// @brief The outcome of one attempt.
@@ -127,6 +131,7 @@
     microseconds service_time{}; // from dispatch to the last byte
     std::string backend_server;
     std::string owner_host;
+    microseconds retry_after{}; // of a refusal: when room is expected; zero when nothing is known
     bool key_never_ran = false; // the home of the call's key knows that no call with the key ran
 };
 
--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -24,13 +24,19 @@
     return true;
 }
 
-call_plan::call_plan(bool may_repeat, std::uint32_t extra_attempts) noexcept
-    : repeatable{may_repeat}, extra_left{std::min(extra_attempts, default_extra_attempts)} {}
+call_plan::call_plan(bool may_repeat, std::uint32_t extra_attempts, std::uint32_t moves) noexcept
+    : repeatable{may_repeat}, extra_left{std::min(extra_attempts, default_extra_attempts)}, moves_left{
+                                                                                                moves} {}
 
 next_step call_plan::decide(const answer& ended, microseconds remaining, retry_budget& budget) noexcept {
-    if (ended.result == outcome::completed || is_final(ended.why)) {
+    const bool failed_answer = this->repeatable && is_backend_failure(ended);
+    if ((ended.result == outcome::completed && !failed_answer) || is_final(ended.why)) {
         return next_step::answer_caller;
     }
+    if (!reached_backend(ended) && this->moves_left > 0 && remaining > microseconds::zero()) {
+        --this->moves_left;
+        return next_step::try_again;
+    }
     if (ended.result == outcome::unknown && !this->repeatable) {
         return next_step::answer_caller;
     }
@@ -41,6 +47,15 @@
     return next_step::try_again;
 }
 
+bool reached_backend(const answer& ended) noexcept {
+    return ended.result != outcome::not_run || ended.why == reason::backend_shed;
+}
+
+bool is_backend_failure(const answer& ended) noexcept {
+    constexpr std::uint16_t first_server_error = 500;
+    return ended.result == outcome::completed && ended.status >= first_server_error;
+}
+
 bool is_final(reason why) noexcept {
     switch (why) {
     case reason::outside_home_regions:
--- a/src/chervilturn/call/retry.hpp
+++ b/src/chervilturn/call/retry.hpp
@@ -40,7 +40,9 @@
 class call_plan {
   public:
     /// @brief Repeatable calls are idempotent, or carry a key that makes them so at its home.
-    call_plan(bool repeatable, std::uint32_t extra_attempts) noexcept;
+    /// Moves are owners' refusals after which the call goes to another owner at no cost: nothing reached
+    /// the refusing owner's backend server.
+    call_plan(bool repeatable, std::uint32_t extra_attempts, std::uint32_t moves = 0) noexcept;
 
     /// @brief Extra attempts that the attempt about to be sent may hand to nested calls.
     ///
@@ -58,9 +60,16 @@
   private:
     bool repeatable;
     std::uint32_t extra_left;
+    std::uint32_t moves_left;
     std::uint32_t made = 0;
 };
 
+/// @brief Whether the attempt may have reached a backend server.
+[[nodiscard]] bool reached_backend(const answer& ended) noexcept;
+
+/// @brief Whether the backend server itself answered that it failed.
+[[nodiscard]] bool is_backend_failure(const answer& ended) noexcept;
+
 /// @brief Whether a refusal would be the same at every other owner.
 [[nodiscard]] bool is_final(reason why) noexcept;
 
--- a/src/chervilturn/config/model.cpp
+++ b/src/chervilturn/config/model.cpp
@@ -56,7 +56,8 @@
 const route* match_route(const team& owner, const std::string& service_name, std::string_view path) {
     const route* best = nullptr;
     for (const auto& [name, candidate] : owner.routes) {
-        if (candidate.service != service_name || !is_below(candidate.prefix, path)) {
+        if (!candidate.host.empty() || candidate.service != service_name ||
+            !is_below(candidate.prefix, path)) {
             continue;
         }
         if (best == nullptr || candidate.prefix.size() > best->prefix.size()) {
@@ -66,4 +67,18 @@
     return best;
 }
 
+const route* match_host(const team& owner, const std::string& host_name, std::string_view path) {
+    const auto found = owner.routes_by_host.find(host_name);
+    if (found == owner.routes_by_host.end()) {
+        return nullptr;
+    }
+    for (const auto& name : found->second) {
+        const auto& candidate = owner.routes.at(name);
+        if (is_below(candidate.prefix, path)) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace chervilturn
--- a/src/chervilturn/config/model.hpp
+++ b/src/chervilturn/config/model.hpp
@@ -6,9 +6,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace chervilturn {
@@ -31,6 +33,9 @@
     std::uint32_t max_queue = 64;
     std::uint32_t cold_slots = 1;      // concurrency that a cold backend server bears
     std::uint32_t warm_up_answers = 8; // answers at normal latency per added slot
+    std::uint32_t cold_per_second = 0; // calls a second that a cold backend server bears; 0: not known
+    microseconds cold_start{};         // how long a start stays cold; zero: not known
+    std::string probe_path = "/load";
     region_set home_regions;
 };
 
@@ -42,13 +47,24 @@
     region_set home_regions;
 };
 
+/// @brief One service of a route's traffic split.
+struct split_part {
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
 /// @brief Calls of a service below a path prefix and how they are treated.
 struct route {
     std::string name;
-    std::string service;
+    std::string service; // empty when the calls are split
+    std::vector<split_part> split;
+    std::string host; // of the callers' request; empty for any
     std::string prefix = "/";
     bool idempotent = false;
     bool urgent = false;
+    microseconds timeout{};         // of a call; zero for none
+    microseconds target_latency{};  // in which an answer has its full value; zero when not stated
+    std::uint32_t max_attempts = 0; // backend servers that one call may be sent to; 0 when not stated
     region_set home_regions;
 };
 
@@ -59,6 +75,14 @@
     bool in_service = true;
 };
 
+/// @brief What callers' connections may ask of an entry. Applies while accepted settings hold it.
+struct caller_limits {
+    std::size_t max_header_bytes = 0;
+    std::size_t max_body_bytes = 0;
+    microseconds header_timeout{};
+    microseconds idle_timeout{};
+};
+
 /// @brief One team's accepted subtree.
 struct team {
     std::string name;
@@ -67,6 +91,9 @@
     std::map<std::string, workspace> workspaces;
     std::map<std::string, route> routes;
     std::map<std::string, data_centre> data_centres;
+    std::optional<caller_limits> limits;
+    // Names of the routes of each host name, the longest prefix first.
+    std::unordered_map<std::string, std::vector<std::string>> routes_by_host;
 };
 
 /// @brief A host as the platform's host list shows it.
@@ -106,4 +133,7 @@
 [[nodiscard]] const route* match_route(const team& owner, const std::string& service_name,
                                        std::string_view path);
 
+/// @brief The route with the longest prefix of a path among those of a host name; null when none fits.
+[[nodiscard]] const route* match_host(const team& owner, const std::string& host_name, std::string_view path);
+
 } // namespace chervilturn
--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -19,12 +19,16 @@
         "max_body_bytes", {1024, 64 << 20}, static_cast<std::int64_t>(limits.max_body_bytes)));
     limits.max_calls = static_cast<std::size_t>(
         reader.integer_or("max_calls", {1, 1'000'000}, static_cast<std::int64_t>(limits.max_calls)));
+    limits.max_moves =
+        static_cast<std::uint32_t>(reader.integer_or("max_moves", {0, 1000}, limits.max_moves));
     limits.default_deadline =
         reader.milliseconds_or("default_deadline_ms", {0, hour_in_milliseconds}, limits.default_deadline);
     limits.max_deadline =
         reader.milliseconds_or("max_deadline_ms", {1, hour_in_milliseconds}, limits.max_deadline);
     limits.shutdown_grace =
         reader.milliseconds_or("shutdown_grace_ms", {0, hour_in_milliseconds}, limits.shutdown_grace);
+    limits.shutdown_notice =
+        reader.milliseconds_or("shutdown_notice_ms", {0, hour_in_milliseconds}, limits.shutdown_notice);
     if (limits.default_deadline > limits.max_deadline) {
         reader.reject("default_deadline_ms", "at most max_deadline_ms");
     }
@@ -38,6 +42,25 @@
     return probes;
 }
 
+[[nodiscard]] reading_options read_reading(object_reader& reader) {
+    reading_options reading;
+    reading.wait = reader.milliseconds_or("wait_ms", {0, 30'000}, reading.wait);
+    reading.pause = reader.milliseconds_or("pause_ms", {0, 60'000}, reading.pause);
+    reading.readers_per_data_centre = static_cast<std::uint32_t>(
+        reader.integer_or("readers_per_data_centre", {1, 1000}, reading.readers_per_data_centre));
+    return reading;
+}
+
+[[nodiscard]] std::map<std::string, std::string> read_data_centres(object_reader& reader) {
+    std::map<std::string, std::string> regions;
+    for (auto& nested : reader.objects_or_none("data_centres")) {
+        regions.emplace(nested.text("name"), nested.text("region"));
+        static_cast<void>(nested.finish());
+        reader.adopt(nested);
+    }
+    return regions;
+}
+
 void check_distinct(object_reader& reader, const node_settings& settings) {
     std::map<address, const char*> taken;
     const std::pair<const char*, address> own[] = {{"callers", settings.callers},
@@ -95,6 +118,9 @@
     settings.seed = static_cast<std::uint64_t>(reader.integer_or("seed", {0, INT64_MAX}, 0));
     read_section(reader, "limits", settings.limits, read_limits);
     read_section(reader, "probes", settings.probes, read_probes);
+    read_section(reader, "reading", settings.reading, read_reading);
+    settings.service = reader.text_or("service", "");
+    settings.data_centres = read_data_centres(reader);
     check_distinct(reader, settings);
     if (const auto fault = reader.finish()) {
         return *fault;
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -8,6 +8,7 @@
 #include "chervilturn/core/time.hpp"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,10 +19,12 @@
 struct node_limits {
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 8UL * 1024 * 1024;
-    std::size_t max_calls = 4096;                             // calls from callers in progress at one entry
+    std::size_t max_calls = 4096; // calls from callers in progress at one entry
+    std::uint32_t max_moves = 0;  // to other owners after refusals that no backend server saw, for one call
     microseconds default_deadline = std::chrono::seconds{10}; // zero: callers must give a deadline
     microseconds max_deadline = std::chrono::minutes{5};
     microseconds shutdown_grace = std::chrono::seconds{60};
+    microseconds shutdown_notice{}; // calls are still taken for so long after the request to stop
 };
 
 /// @brief The budget for asking the backend server about its load.
@@ -30,6 +33,13 @@
     microseconds timeout = std::chrono::milliseconds{500};
 };
 
+/// @brief How the platform is read by the nodes that read it.
+struct reading_options {
+    microseconds wait = std::chrono::seconds{20};       // for a change, in one call
+    microseconds pause = std::chrono::milliseconds{50}; // between two calls
+    std::uint32_t readers_per_data_centre = 2;          // nodes that read; all others ask them
+};
+
 /// @brief Everything that a node learns from its settings file.
 struct node_settings {
     std::string host;
@@ -47,6 +57,9 @@
     std::uint64_t seed = 0; // 0 draws one from the system
     node_limits limits;
     probe_limits probes;
+    reading_options reading;
+    std::string service;                             // of the backend server; empty when not told
+    std::map<std::string, std::string> data_centres; // region of each, as far as told at the start
 };
 
 /// @brief Names of the selection policies that a node may run.
--- a/src/chervilturn/config/object_reader.cpp
+++ b/src/chervilturn/config/object_reader.cpp
@@ -157,7 +157,14 @@
 }
 
 std::vector<object_reader> object_reader::objects(const char* key) {
-    const auto* value = this->member(key, true, "a list of objects");
+    return this->objects_of(key, this->member(key, true, "a list of objects"));
+}
+
+std::vector<object_reader> object_reader::objects_or_none(const char* key) {
+    return this->objects_of(key, this->member(key, false, ""));
+}
+
+std::vector<object_reader> object_reader::objects_of(const char* key, const nlohmann::json* value) {
     std::vector<object_reader> found;
     if (value == nullptr) {
         return found;
--- a/src/chervilturn/config/object_reader.hpp
+++ b/src/chervilturn/config/object_reader.hpp
@@ -56,6 +56,9 @@
     /// @brief Readers for the objects of a list member; an absent list is a fault.
     [[nodiscard]] std::vector<object_reader> objects(const char* key);
 
+    /// @brief The same; an absent list is empty.
+    [[nodiscard]] std::vector<object_reader> objects_or_none(const char* key);
+
     /// @brief A reader for a nested object that may be absent.
     [[nodiscard]] std::optional<object_reader> section(const char* key);
 
@@ -69,6 +72,7 @@
     [[nodiscard]] std::optional<settings_error> finish();
 
   private:
+    [[nodiscard]] std::vector<object_reader> objects_of(const char* key, const nlohmann::json* value);
     [[nodiscard]] const nlohmann::json* member(const char* key, bool required, const char* expected);
     [[nodiscard]] address parse_address_member(const nlohmann::json& value, const std::string& key);
     void fail(const std::string& key, const nlohmann::json* value, std::string expected);
--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view teams_prefix = "teams/";
 constexpr integer_range slot_range{1, 10'000};
+constexpr std::int64_t hour_in_milliseconds = 3'600'000;
 
 struct leaf_name {
     std::string kind;
@@ -38,7 +39,7 @@
     service read{.name = name, .backend_servers = {}, .home_regions = {}};
     std::set<std::string> names;
     std::set<address> nodes;
-    for (auto& nested : reader.objects("backend_servers")) {
+    for (auto& nested : reader.objects_or_none("backend_servers")) {
         auto server = read_backend_server(nested);
         if (!names.insert(server.name).second) {
             nested.reject("name", "a name used once in the service");
@@ -53,10 +54,30 @@
     read.max_queue = static_cast<std::uint32_t>(reader.integer_or("max_queue", {0, 100'000}, 64));
     read.cold_slots = static_cast<std::uint32_t>(reader.integer_or("cold_slots", slot_range, 1));
     read.warm_up_answers = static_cast<std::uint32_t>(reader.integer_or("warm_up_answers", slot_range, 8));
+    read.cold_per_second =
+        static_cast<std::uint32_t>(reader.integer_or("cold_per_second", {0, 1'000'000}, 0));
+    read.cold_start =
+        reader.milliseconds_or("cold_start_ms", {0, hour_in_milliseconds}, microseconds::zero());
+    read.probe_path = reader.text_or("probe_path", read.probe_path);
     read.home_regions = reader.names_or_none("home_regions");
     return read;
 }
 
+// A backend server with a leaf of its own, so that its coming and going leaves the service's leaf alone.
+struct placed_server {
+    std::string service;
+    backend_server server;
+};
+
+[[nodiscard]] placed_server read_placed_server(object_reader& reader, const std::string& name) {
+    placed_server read{.service = reader.text("service"), .server = {}};
+    read.server.name = name;
+    read.server.node = reader.address_at("node");
+    read.server.data_centre = reader.text("data_centre");
+    read.server.slots = static_cast<std::uint32_t>(reader.integer("slots", slot_range));
+    return read;
+}
+
 [[nodiscard]] workspace read_workspace(object_reader& reader, const std::string& name) {
     workspace read{.name = name, .home_regions = {}};
     read.weight = static_cast<std::uint32_t>(reader.integer_or("weight", {1, 1000}, 1));
@@ -66,7 +87,22 @@
 }
 
 [[nodiscard]] route read_route(object_reader& reader, const std::string& name) {
-    route read{.name = name, .service = reader.text("service"), .home_regions = {}};
+    route read{.name = name, .service = {}, .split = {}, .host = {}, .home_regions = {}};
+    for (auto& nested : reader.objects_or_none("split")) {
+        read.split.push_back(
+            {.service = nested.text("service"),
+             .weight = static_cast<std::uint32_t>(nested.integer("weight", {0, 1'000'000}))});
+        static_cast<void>(nested.finish());
+        reader.adopt(nested);
+    }
+    if (read.split.empty()) {
+        read.service = reader.text("service");
+    }
+    read.host = reader.text_or("host", "");
+    read.timeout = reader.milliseconds_or("timeout_ms", {1, hour_in_milliseconds}, microseconds::zero());
+    read.target_latency =
+        reader.milliseconds_or("target_latency_ms", {1, hour_in_milliseconds}, microseconds::zero());
+    read.max_attempts = static_cast<std::uint32_t>(reader.integer_or("max_attempts", {1, 100}, 0));
     read.prefix = reader.text_or("prefix", "/");
     if (!read.prefix.starts_with('/')) {
         reader.reject("prefix", "a path that starts with \"/\"");
@@ -83,17 +119,38 @@
     return read;
 }
 
+[[nodiscard]] caller_limits read_caller_limits(object_reader& reader) {
+    constexpr integer_range bytes{1, 1 << 30};
+    caller_limits read;
+    read.max_header_bytes = static_cast<std::size_t>(reader.integer("max_header_bytes", bytes));
+    read.max_body_bytes = static_cast<std::size_t>(reader.integer("max_body_bytes", bytes));
+    read.header_timeout =
+        std::chrono::milliseconds{reader.integer("header_timeout_ms", {1, hour_in_milliseconds})};
+    read.idle_timeout =
+        std::chrono::milliseconds{reader.integer("idle_timeout_ms", {1, hour_in_milliseconds})};
+    return read;
+}
+
 [[nodiscard]] std::optional<settings_error> check_references(const team& checked) {
     for (const auto& [name, candidate] : checked.routes) {
-        if (!checked.services.contains(candidate.service)) {
-            return settings_error{"teams/" + checked.name + "/routes/" + name, "service",
-                                  '"' + candidate.service + '"', "a service of the team"};
+        auto targets = candidate.split;
+        if (targets.empty()) {
+            targets.push_back({.service = candidate.service});
+        }
+        for (const auto& target : targets) {
+            if (!checked.services.contains(target.service)) {
+                return settings_error{"teams/" + checked.name + "/routes/" + name, "service",
+                                      '"' + target.service + '"', "a service of the team"};
+            }
         }
     }
     return std::nullopt;
 }
 
-[[nodiscard]] std::optional<settings_error> add_leaf(team& target, const leaf& added) {
+using placed_servers = std::vector<placed_server>;
+
+[[nodiscard]] std::optional<settings_error> add_leaf(team& target, placed_servers& placed,
+                                                     const leaf& added) {
     const auto [kind, name] = split_team_path(target.name, added.path);
     const auto json = nlohmann::json::parse(added.value, nullptr, false, true);
     if (json.is_discarded()) {
@@ -109,15 +166,43 @@
         target.workspaces.emplace(name, read_workspace(reader, name));
     } else if (kind == "routes") {
         target.routes.emplace(name, read_route(reader, name));
+    } else if (kind == "backend_servers") {
+        placed.push_back(read_placed_server(reader, name));
+    } else if (kind == "limits" && name == "callers") {
+        target.limits = read_caller_limits(reader);
     } else if (kind == "data_centres") {
         target.data_centres.emplace(name, read_data_centre(reader, name));
     } else {
         return settings_error{added.path, "(path)", '"' + kind + '"',
-                              "one of \"services\", \"workspaces\", \"routes\", \"data_centres\""};
+                              "one of \"services\", \"backend_servers\", \"workspaces\", \"routes\", "
+                              "\"data_centres\", \"limits/callers\""};
     }
     return reader.finish();
 }
 
+// A backend server may be listed before its service is, or after it has gone: it then waits unused.
+void place_servers(team& target, placed_servers&& placed) {
+    for (auto& item : placed) {
+        const auto found = target.services.find(item.service);
+        if (found != target.services.end()) {
+            found->second.backend_servers.push_back(std::move(item.server));
+        }
+    }
+}
+
+void index_routes(team& target) {
+    for (const auto& [name, indexed] : target.routes) {
+        if (!indexed.host.empty()) {
+            target.routes_by_host[indexed.host].push_back(name);
+        }
+    }
+    for (auto& [host_name, names] : target.routes_by_host) {
+        std::sort(names.begin(), names.end(), [&target](const std::string& left, const std::string& right) {
+            return target.routes.at(left).prefix.size() > target.routes.at(right).prefix.size();
+        });
+    }
+}
+
 using host_map = std::map<address, host>;
 
 [[nodiscard]] host read_host(object_reader& reader) {
@@ -192,12 +277,21 @@
 }
 
 result<team, settings_error> check_team(const std::string& name, const std::vector<leaf>& leaves) {
-    team checked{.name = name, .services = {}, .workspaces = {}, .routes = {}, .data_centres = {}};
+    team checked{.name = name,
+                 .services = {},
+                 .workspaces = {},
+                 .routes = {},
+                 .data_centres = {},
+                 .limits = {},
+                 .routes_by_host = {}};
+    placed_servers placed;
     for (const auto& added : leaves) {
-        if (const auto fault = add_leaf(checked, added)) {
+        if (const auto fault = add_leaf(checked, placed, added)) {
             return *fault;
         }
     }
+    place_servers(checked, std::move(placed));
+    index_routes(checked);
     if (const auto fault = check_references(checked)) {
         return *fault;
     }
@@ -214,6 +308,9 @@
         if (!fault) {
             state.accepted = state.candidate;
             state.revision = state.candidate_revision;
+            if (offered.complete) {
+                state.deletions_known_since = std::max(state.deletions_known_since, offered.revision);
+            }
             this->rejected.erase(offered.subtree);
             return offer_outcome::accepted;
         }
@@ -242,9 +339,12 @@
         if (state.revision <= floor) {
             continue;
         }
-        subtree_snapshot update{.subtree = name, .revision = state.revision, .leaves = {}};
+        // A receiver older than the first deletion known here must drop what is not listed.
+        const bool complete = floor < state.deletions_known_since;
+        subtree_snapshot update{
+            .subtree = name, .revision = state.revision, .complete = complete, .leaves = {}};
         for (const auto& [path, accepted] : state.accepted) {
-            if (accepted.revision > floor) {
+            if (complete || accepted.revision > floor) {
                 update.leaves.push_back(accepted);
             }
         }
@@ -279,7 +379,22 @@
             newer = true;
         }
     }
-    return newer;
+    return offered.complete ? remove_unlisted(leaves, offered) || newer : newer;
+}
+
+bool settings_tree::remove_unlisted(std::map<std::string, leaf>& leaves, const subtree_snapshot& complete) {
+    std::set<std::string_view> listed;
+    for (const auto& item : complete.leaves) {
+        listed.insert(item.path);
+    }
+    bool removed = false;
+    for (auto& [path, held] : leaves) {
+        if (!held.removed && held.revision <= complete.revision && !listed.contains(path)) {
+            held = {.path = path, .revision = complete.revision, .removed = true, .value = {}};
+            removed = true;
+        }
+    }
+    return removed;
 }
 
 std::optional<settings_error> settings_tree::compile(const std::string& subtree,
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -27,6 +27,7 @@
 struct subtree_snapshot {
     std::string subtree; // a team's name, or "hosts"
     revision_number revision = 0;
+    bool complete = false; // leaves that are not listed do not exist at the revision
     std::vector<leaf> leaves;
 };
 
@@ -81,13 +82,16 @@
 
   private:
     struct subtree_state {
-        revision_number revision = 0;           // accepted; never falls
-        std::map<std::string, leaf> accepted;   // valid as a whole
-        std::map<std::string, leaf> candidate;  // accepted plus newer leaves not yet valid
-        revision_number candidate_revision = 0; // at least revision
+        revision_number revision = 0;              // accepted; never falls
+        std::map<std::string, leaf> accepted;      // valid as a whole
+        std::map<std::string, leaf> candidate;     // accepted plus newer leaves not yet valid
+        revision_number candidate_revision = 0;    // at least revision
+        revision_number deletions_known_since = 0; // deletions before it are not among the leaves
     };
 
     [[nodiscard]] static bool merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& offered);
+    [[nodiscard]] static bool remove_unlisted(std::map<std::string, leaf>& leaves,
+                                              const subtree_snapshot& complete);
     [[nodiscard]] bool accept_beside_broken(subtree_state& state, const subtree_snapshot& offered);
     [[nodiscard]] std::optional<settings_error>
     compile(const std::string& subtree, const std::map<std::string, leaf>& leaves, revision_number revision);
--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -5,6 +5,7 @@
 
 struct relay_position;
 class pause_detector;
+class removal_hold;
 struct connection_options;
 class connection_health;
 
--- a/src/chervilturn/membership/relay_tree.cpp
+++ b/src/chervilturn/membership/relay_tree.cpp
@@ -43,16 +43,16 @@
     }
 }
 
-void add_ancestors(relay_position& position, const ranking& hosts, std::size_t rank) {
+void add_ancestors(relay_position& position, const ranking& hosts, std::size_t rank, std::size_t readers) {
     std::size_t ancestor = rank;
-    while (ancestor >= readers_per_data_centre) {
-        ancestor = (ancestor - readers_per_data_centre) / relay_fan_out;
+    while (ancestor >= readers) {
+        ancestor = (ancestor - readers) / relay_fan_out;
         position.parents.push_back(hosts[ancestor].peers);
     }
 }
 
-void add_readers(relay_position& position, const ranking& hosts, std::size_t rank) {
-    for (std::size_t reader = 0; reader < std::min(readers_per_data_centre, hosts.size()); ++reader) {
+void add_readers(relay_position& position, const ranking& hosts, std::size_t rank, std::size_t readers) {
+    for (std::size_t reader = 0; reader < std::min(readers, hosts.size()); ++reader) {
         const auto& peers = hosts[reader].peers;
         const auto listed = std::find(position.parents.begin(), position.parents.end(), peers);
         if (reader != rank && listed == position.parents.end()) {
@@ -63,8 +63,8 @@
 
 } // namespace
 
-relay_position place_in_relay_tree(const model& settings, const address& self,
-                                   const std::string& data_centre) {
+relay_position place_in_relay_tree(const model& settings, const address& self, const std::string& data_centre,
+                                   std::size_t readers) {
     relay_position position;
     const auto ranks = rank_hosts(settings);
     const auto own = ranks.find(data_centre);
@@ -80,12 +80,12 @@
         return position;
     }
     const auto rank = static_cast<std::size_t>(found - hosts.begin());
-    position.reader = rank < readers_per_data_centre;
+    position.reader = rank < readers;
     if (position.reader) {
         add_other_data_centres(position, ranks, own);
     }
-    add_ancestors(position, hosts, rank);
-    add_readers(position, hosts, rank);
+    add_ancestors(position, hosts, rank, readers);
+    add_readers(position, hosts, rank, readers);
     return position;
 }
 
--- a/src/chervilturn/membership/relay_tree.hpp
+++ b/src/chervilturn/membership/relay_tree.hpp
@@ -18,11 +18,12 @@
 
 /// @brief Computes a node's place. Every node that holds the same host list computes the same tree.
 ///
-/// Hosts of the data centre are ranked by rendezvous weight. The first two read the platform; each further
+/// Hosts of the data centre are ranked by rendezvous weight. The first ones read the platform; each further
 /// one learns from the node whose rank is its own divided by the fan-out. Leaving hosts rank last.
 /// Readers learn from the first host of the next data centre besides, in a ring, so that settings reach data
 /// centres that have lost the platform but not their neighbours.
 [[nodiscard]] relay_position place_in_relay_tree(const model& settings, const address& self,
-                                                 const std::string& data_centre);
+                                                 const std::string& data_centre,
+                                                 std::size_t readers = readers_per_data_centre);
 
 } // namespace chervilturn
--- a/src/chervilturn/node/backend_caller.cpp
+++ b/src/chervilturn/node/backend_caller.cpp
@@ -6,42 +6,29 @@
 namespace {
 
 constexpr microseconds cut_window = std::chrono::milliseconds{100};
-constexpr std::uint16_t status_unavailable = 503;
-
-[[nodiscard]] http_request to_request(const call& made, microseconds remaining) {
-    http_request request{
-        .method = made.method, .target = made.target, .headers = made.headers, .body = made.body};
-    const auto whole_milliseconds = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
-    request.headers.push_back({"chervilturn-deadline-ms", std::to_string(whole_milliseconds)});
-    request.headers.push_back({"chervilturn-extra-attempts", std::to_string(made.extra_attempts)});
-    request.headers.push_back({"chervilturn-depth", std::to_string(made.depth + 1)});
-    request.headers.push_back({"chervilturn-workspace", made.workspace});
-    if (made.key.given()) {
-        request.headers.push_back({"idempotency-key", made.key.text});
-    }
-    return request;
-}
-
-[[nodiscard]] bool says_not_run(const http_response& response) {
-    return response.status == status_unavailable &&
-           find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run);
-}
 
 } // namespace
 
-backend_caller::backend_caller(const node_context& context, door& used)
-    : gate{&used}, client{*context.loop, context.settings.backend_server,
-                          http_client_options{.max_body_bytes = context.settings.limits.max_body_bytes}} {}
+backend_caller::backend_caller(const node_context& shared, door& used)
+    : context{&shared}, gate{&used}, client{*shared.loop, shared.settings.backend_server,
+                                            http_client_options{.max_body_bytes =
+                                                                    shared.settings.limits.max_body_bytes}} {}
 
-backend_caller::running_call backend_caller::run(const call& dispatched_call, microseconds remaining,
-                                                 answer_handler handler) {
-    const auto attempt = dispatched_call.attempt;
+backend_caller::running_call backend_caller::run(const dispatch& dispatched, answer_handler handler) {
+    const auto attempt = dispatched.sent->attempt;
     const auto sent_at = now_monotonic();
-    return this->client.send(to_request(dispatched_call, remaining), remaining,
-                             [this, attempt, sent_at, handler = std::move(handler)](http_result result) {
-                                 const auto service_time = elapsed(sent_at, now_monotonic());
-                                 handler(this->to_answer(attempt, service_time, std::move(result)));
-                             });
+    const auto* protocol = this->context->protocols.backend.get();
+    return this->client.send(
+        protocol->request(dispatched),
+        http_send_options{.timeout = dispatched.remaining,
+                          .belongs =
+                              [protocol, id = dispatched.sent->request_id](const http_response& response) {
+                                  return protocol->belongs(id, response);
+                              }},
+        [this, attempt, sent_at, handler = std::move(handler)](http_result result) {
+            const auto service_time = elapsed(sent_at, now_monotonic());
+            handler(this->to_answer(attempt, service_time, std::move(result)));
+        });
 }
 
 answer backend_caller::to_answer(const attempt_id& attempt, microseconds service_time, http_result&& result) {
@@ -53,9 +40,22 @@
 
 answer backend_caller::to_answer(const attempt_id& attempt, microseconds service_time,
                                  http_response&& response) {
-    if (says_not_run(response)) {
+    const auto read = this->context->protocols.backend->read(response);
+    if (read.load) {
+        this->gate->learn_slowdown(read.load->slowdown_percent);
+    }
+    switch (read.kind) {
+    case response_kind::refused:
         this->gate->release(attempt);
         return refuse(attempt, outcome::not_run, reason::backend_shed);
+    case response_kind::wrong_server:
+        this->gate->release(attempt);
+        return refuse(attempt, outcome::not_run, reason::not_the_owner);
+    case response_kind::spoiled:
+        this->gate->release(attempt);
+        return refuse(attempt, outcome::unknown, reason::answer_incomplete);
+    case response_kind::answered:
+        break;
     }
     this->gate->complete(attempt, service_time);
     answer made;
@@ -86,7 +86,7 @@
         this->note_cut_connection(now);
         this->gate->release(attempt);
         return refuse(attempt, outcome::unknown, reason::answer_incomplete);
-    case http_failure::unframed:
+    case http_failure::malformed:
         this->gate->release(attempt);
         return refuse(attempt, outcome::unknown, reason::answer_incomplete);
     case http_failure::too_large:
--- a/src/chervilturn/node/backend_caller.hpp
+++ b/src/chervilturn/node/backend_caller.hpp
@@ -18,8 +18,7 @@
     backend_caller(const node_context& context, door& gate);
 
     /// @brief Sends a call that the door has dispatched. The handler is called once, later.
-    [[nodiscard]] running_call run(const call& dispatched_call, microseconds remaining,
-                                   answer_handler handler);
+    [[nodiscard]] running_call run(const dispatch& dispatched, answer_handler handler);
 
     /// @brief Gives a running call up; its answer is unknown.
     void cancel(const running_call& running) { this->client.give_up(running); }
@@ -35,6 +34,7 @@
     [[nodiscard]] answer to_answer(const attempt_id& attempt, http_failure failure);
     void note_cut_connection(instant now);
 
+    const node_context* context;
     door* gate; // outlives the caller
     http_client client;
     instant cut_at{};
--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -4,7 +4,6 @@
 #include "chervilturn/observe/log.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace chervilturn {
 
@@ -20,9 +19,10 @@
 
 } // namespace
 
-backend_probe::backend_probe(const node_context& shared, http_client& used, warm_up_limit& taught)
-    : context{&shared}, client{&used}, limit{&taught}, budget{rate_of(shared.settings)},
-      tick{*shared.loop, [this] { this->send(); }} {
+backend_probe::backend_probe(const node_context& shared, http_client& used, warm_up_limit& taught,
+                             report_handler handler)
+    : context{&shared}, client{&used}, limit{&taught}, receiver{std::move(handler)},
+      budget{rate_of(shared.settings)}, tick{*shared.loop, [this] { this->send(); }} {
     const std::chrono::duration<double> period{1.0 / shared.settings.probes.probes_per_second};
     this->tick.start_periodic(std::chrono::duration_cast<microseconds>(period));
 }
@@ -34,7 +34,7 @@
     }
     this->in_progress = true;
     ++this->context->measured->counters().probes;
-    const http_request request{.method = "GET", .target = "/load", .headers = {}, .body = {}};
+    const auto request = this->context->protocols.backend->probe(this->path);
     static_cast<void>(this->client->send(request, this->context->settings.probes.timeout,
                                          [this, now](const http_result& result) {
                                              this->in_progress = false;
@@ -51,30 +51,24 @@
         }
         return;
     }
-    const auto& body = std::get<http_response>(result).body;
-    counters.probe_bytes += body.size();
+    const auto& response = std::get<http_response>(result);
+    counters.probe_bytes += response.body.size();
     this->limit->on_reached();
-    this->learn(body);
+    if (const auto report = this->context->protocols.backend->read_probe(response)) {
+        this->learn(*report);
+    }
 }
 
-void backend_probe::learn(const std::string& body) {
-    const auto report = nlohmann::json::parse(body, nullptr, false);
-    if (!report.is_object()) {
-        return;
-    }
-    const auto boot = report.find("boot");
-    if (boot != report.end() && boot->is_string()) {
-        const auto mark = boot->get<std::string>();
-        if (!this->boot_mark.empty() && mark != this->boot_mark) {
-            log_event(log_level::warn, "backend_server_restarted", {{"boot", mark}});
+void backend_probe::learn(const probe_report& report) {
+    if (!report.boot_mark.empty()) {
+        if (!this->boot_mark.empty() && report.boot_mark != this->boot_mark) {
+            log_event(log_level::warn, "backend_server_restarted", {{"boot", report.boot_mark}});
             this->limit->on_restarted();
         }
-        this->boot_mark = mark;
-    }
-    const auto draining = report.find("draining");
-    if (draining != report.end() && draining->is_boolean()) {
-        this->limit->on_drain(draining->get<bool>());
+        this->boot_mark = report.boot_mark;
     }
+    this->limit->on_drain(report.draining);
+    this->receiver(report);
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/node/context.hpp
+++ b/src/chervilturn/node/context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "chervilturn/config/node_settings.hpp"
+#include "chervilturn/node/protocol.hpp"
 #include "chervilturn/observe/metrics.hpp"
 #include "chervilturn/transport/event_loop.hpp"
 
@@ -17,6 +18,7 @@
     node_settings settings;
     std::uint64_t incarnation = 0; // drawn at the node's start
     metrics* measured = nullptr;
+    node_protocols protocols;
     node_mailboxes* boxes = nullptr;
 };
 
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -11,30 +11,22 @@
 
 constexpr microseconds anti_entropy_period = std::chrono::seconds{5};
 constexpr microseconds doubt_patience = std::chrono::seconds{1};
-constexpr microseconds seed_retry_period = std::chrono::seconds{1};  // while nothing is accepted
-constexpr microseconds earliest_own_start = std::chrono::seconds{2}; // of reading, when seeds do not help
-constexpr microseconds latest_own_start = std::chrono::seconds{15};
+constexpr microseconds seed_retry_period = std::chrono::seconds{1}; // while nothing is accepted
+constexpr microseconds earliest_own_start =
+    std::chrono::milliseconds{500}; // of reading, when seeds do not help
+constexpr microseconds latest_own_start = std::chrono::seconds{2};
 constexpr microseconds reader_start_spread = std::chrono::milliseconds{20};
 constexpr microseconds stand_in_start_spread = std::chrono::seconds{3}; // readers for want of a parent
 constexpr microseconds longest_follow_delay = std::chrono::milliseconds{500};
 constexpr double own_data_centre_share = 0.75; // of random comparisons
 constexpr std::size_t asked_in_doubt = 3;
 
-[[nodiscard]] std::unique_ptr<platform> make_platform(const node_context& context) {
-    if (context.settings.platform.empty()) {
-        return nullptr;
-    }
-    return std::make_unique<http_platform>(*context.loop, context.settings.platform);
-}
-
 } // namespace
 
 control_task::control_task(const node_context& shared)
-    : context{&shared}, random{shared.incarnation}, reader{shared, make_platform(shared),
-                                                           [this](
-                                                               const std::vector<subtree_snapshot>& batch) {
-                                                               this->on_batch(batch);
-                                                           }},
+    : context{&shared}, random{shared.incarnation},
+      reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings),
+             [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
       anti_entropy{*shared.loop, [this] { this->ask_random_peer(); }}, own_start{*shared.loop,
                                                                                  [this] {
                                                                                      this->read_if_ignorant();
@@ -190,7 +182,8 @@
 // Takes this node's place in the relay tree of the host list accepted last.
 void control_task::take_place() {
     const auto& settings = this->context->settings;
-    auto place = place_in_relay_tree(*this->tree.current(), settings.reachable_at, settings.data_centre);
+    auto place = place_in_relay_tree(*this->tree.current(), settings.reachable_at, settings.data_centre,
+                                     settings.reading.readers_per_data_centre);
     const bool same_parents = place.parents == this->position.parents;
     this->position = std::move(place);
     if (this->position.reader) {
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -5,6 +5,8 @@
 #include "chervilturn/node/key_desk.hpp"
 #include "chervilturn/observe/log.hpp"
 
+#include <algorithm>
+
 namespace chervilturn {
 
 namespace {
@@ -13,38 +15,6 @@
 constexpr std::uint16_t status_misdirected = 421;
 constexpr std::uint16_t status_unavailable = 503;
 
-[[nodiscard]] std::uint16_t status_for(const answer& ended) {
-    constexpr std::uint16_t bad_request = 400;
-    constexpr std::uint16_t conflict = 409;
-    constexpr std::uint16_t bad_gateway = 502;
-    constexpr std::uint16_t gateway_timeout = 504;
-    if (ended.result == outcome::completed) {
-        return ended.status == 0 ? conflict : ended.status;
-    }
-    if (ended.why == reason::bad_request) {
-        return bad_request;
-    }
-    if (ended.why == reason::outside_home_regions) {
-        return status_misdirected;
-    }
-    if (ended.result == outcome::not_run) {
-        return status_unavailable;
-    }
-    return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
-}
-
-[[nodiscard]] http_response refusal_response(std::uint16_t status, outcome result, reason why,
-                                             const std::string& message) {
-    const nlohmann::json body{{"outcome", std::string{to_string(result)}},
-                              {"reason", std::string{to_string(why)}},
-                              {"message", message}};
-    return {.status = status,
-            .headers = {{"content-type", "application/json"},
-                        {"chervilturn-outcome", std::string{to_string(result)}},
-                        {"chervilturn-reason", std::string{to_string(why)}}},
-            .body = body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace) + '\n'};
-}
-
 } // namespace
 
 entry_task::entry_task(const node_context& shared)
@@ -68,11 +38,18 @@
 }
 
 bool entry_task::idle() const noexcept {
-    return this->calls.empty() && this->server->responses_in_flight() == 0;
+    return this->calls.empty() && this->server->idle();
+}
+
+bool entry_task::has_settings() const noexcept {
+    const auto& teams = this->settings->teams;
+    return std::any_of(teams.begin(), teams.end(),
+                       [](const auto& named) { return !named.second.services.empty(); });
 }
 
 void entry_task::handle(const settings_changed& message) {
     this->settings = message.settings;
+    this->configure_server();
     std::map<address, load_view> kept;
     for (const auto& [team_name, owner] : this->settings->teams) {
         for (const auto& [service_name, target] : owner.services) {
@@ -105,6 +82,10 @@
         }
     }
     opened->last = message.ended;
+    if (message.ended.retry_after > microseconds::zero() &&
+        (opened->retry_after == microseconds::zero() || message.ended.retry_after < opened->retry_after)) {
+        opened->retry_after = message.ended.retry_after;
+    }
     opened->may_have_run = opened->may_have_run || message.ended.result == outcome::unknown;
     auto& budget = this->budget_of(opened->request.made, opened->request.retry_percent);
     if (opened->plan.decide(message.ended, elapsed(now, opened->deadline), budget) == next_step::try_again) {
@@ -116,6 +97,7 @@
 
 void entry_task::handle(const shutdown_started&) {
     this->shutting_down = true;
+    this->server->close_after_responses();
     this->server->stop_accepting();
 }
 
@@ -168,29 +150,32 @@
 }
 
 void entry_task::on_request(std::shared_ptr<http_exchange> exchange) {
+    const auto id = this->context->protocols.callers->request_id(exchange->request());
     if (this->shutting_down) {
-        auto response = refusal_response(status_unavailable, outcome::not_run, reason::shutting_down,
-                                         "the node shuts down");
-        response.headers.push_back({"connection", "close"});
-        exchange->respond(response);
+        this->reject(*exchange, {status_unavailable, reason::shutting_down, "the node shuts down"}, id);
         return;
     }
     if (this->calls.size() >= this->context->settings.limits.max_calls) {
         this->reject(*exchange,
-                     {status_unavailable, reason::queue_full, "too many calls in progress at this node"});
+                     {status_unavailable, reason::queue_full, "too many calls in progress at this node"}, id);
         return;
     }
-    auto read = read_request({.settings = this->settings.get(), .node = &this->context->settings},
-                             std::move(exchange->request()));
+    auto read = this->context->protocols.callers->read(
+        {.settings = this->settings.get(), .node = &this->context->settings}, std::move(exchange->request()));
     if (!succeeded(read)) {
-        this->reject(*exchange, error_of(read));
+        this->reject(*exchange, error_of(read), id);
         return;
     }
     auto request = value_of(std::move(read));
+    if (!request.split.empty()) {
+        request.made.service = pick_split_part(request.split, this->random).service;
+    }
     const auto here = this->settings->region_of(this->context->settings.data_centre);
-    if (!admits(request.regions, here)) {
-        this->reject(*exchange, {status_misdirected, reason::outside_home_regions,
-                                 "this node is outside the call's home regions"});
+    if (!request.any_entry && !admits(request.regions, here)) {
+        this->reject(*exchange,
+                     {status_misdirected, reason::outside_home_regions,
+                      "this node is outside the call's home regions"},
+                     id);
         return;
     }
     this->open(std::move(exchange), std::move(request));
@@ -198,7 +183,8 @@
 
 void entry_task::open(std::shared_ptr<http_exchange> exchange, accepted_request&& request) {
     const auto now = now_monotonic();
-    const call_plan plan{request.made.idempotent || request.made.key.given(), request.extra_attempts};
+    const call_plan plan{request.made.idempotent || request.made.key.given(), request.extra_attempts,
+                         this->context->settings.limits.max_moves};
     const auto deadline = now + request.made.remaining;
     this->budget_of(request.made, request.retry_percent).count_first_attempt();
     this->calls.push_back(open_call{.exchange = std::move(exchange),
@@ -249,6 +235,7 @@
     if (candidates.empty()) {
         return nullptr;
     }
+    opened.request.made.last_resort = candidates.size() == 1;
     const auto picked = candidates[this->selection->pick(candidates, this->random, now)].index;
     opened.tried.push_back(picked);
     return &target.backend_servers[picked];
@@ -339,22 +326,32 @@
     series.latency.record(elapsed(opened.started, now_monotonic()));
     ++series.outcomes.at(static_cast<std::size_t>(ended.result));
     series.extra_attempts += std::max(1U, opened.plan.attempts()) - 1;
-    auto response = ended.result == outcome::completed && ended.status != 0
-                        ? http_response{.status = ended.status, .headers = ended.headers, .body = ended.body}
-                        : refusal_response(status_for(ended), ended.result, ended.why, "");
-    if (ended.result == outcome::completed && ended.status != 0) {
-        response.headers.push_back({"chervilturn-outcome", std::string{to_string(ended.result)}});
-    }
-    response.headers.push_back({"chervilturn-entry", this->context->settings.host});
-    response.headers.push_back({"chervilturn-owner", ended.owner_host});
-    response.headers.push_back({"chervilturn-backend-server", ended.backend_server});
-    response.headers.push_back({"chervilturn-attempts", std::to_string(opened.plan.attempts())});
-    opened.exchange->respond(response);
+    auto told = ended;
+    told.retry_after = opened.retry_after;
+    opened.exchange->respond(this->context->protocols.callers->respond(
+        told, {.entry_host = this->context->settings.host, .attempts = opened.plan.attempts()}));
 }
 
-void entry_task::reject(http_exchange& exchange, const request_error& error) {
+void entry_task::reject(http_exchange& exchange, const request_error& error, const std::string& id) {
     ++this->context->measured->counters().refusals.at(static_cast<std::size_t>(error.why));
-    exchange.respond(refusal_response(error.status, outcome::not_run, error.why, error.message));
+    log_event(log_level::info, "request_rejected",
+              {{"request", id},
+               {"status", error.status},
+               {"reason", to_string(error.why)},
+               {"because", error.message}});
+    exchange.respond(this->context->protocols.callers->refuse(error));
+}
+
+// Limits of accepted settings go before those of the settings file.
+void entry_task::configure_server() {
+    for (const auto& [name, owner] : this->settings->teams) {
+        if (owner.limits) {
+            this->server->configure({.max_header_bytes = owner.limits->max_header_bytes,
+                                     .max_body_bytes = owner.limits->max_body_bytes,
+                                     .header_timeout = owner.limits->header_timeout,
+                                     .idle_timeout = owner.limits->idle_timeout});
+        }
+    }
 }
 
 load_view& entry_task::view_of(const backend_server& backend) {
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -4,7 +4,7 @@
 #include "chervilturn/call/retry.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/messages.hpp"
-#include "chervilturn/node/request_reader.hpp"
+#include "chervilturn/node/protocol.hpp"
 #include "chervilturn/selection/policy.hpp"
 
 #include <list>
@@ -23,6 +23,9 @@
     /// @brief Whether every call is answered and every answer written out.
     [[nodiscard]] bool idle() const noexcept;
 
+    /// @brief Whether settings are known, so that calls can be served.
+    [[nodiscard]] bool has_settings() const noexcept;
+
   private:
     struct open_call {
         std::shared_ptr<http_exchange> exchange;
@@ -34,9 +37,10 @@
         attempt_id attempt;             // the one in progress
         address owner;                  // of the attempt in progress
         instant sent_at{};
-        bool in_progress = false;  // whether an attempt is
-        bool may_have_run = false; // an earlier attempt ended unknown
-        answer last;               // of the latest attempt that ended
+        bool in_progress = false;   // whether an attempt is
+        bool may_have_run = false;  // an earlier attempt ended unknown
+        answer last;                // of the latest attempt that ended
+        microseconds retry_after{}; // shortest that a refusing owner told; zero when none did
         std::unique_ptr<timer> expiry;
     };
     using call_iterator = std::list<open_call>::iterator;
@@ -47,6 +51,7 @@
     void handle(const describe_request& request);
     void handle(const explain_request& request);
 
+    void configure_server();
     void on_request(std::shared_ptr<http_exchange> exchange);
     void open(std::shared_ptr<http_exchange> exchange, accepted_request&& request);
     void try_next(call_iterator opened);
@@ -60,7 +65,7 @@
     void close(call_iterator opened, const answer& ended);
     [[nodiscard]] bool certainly_not_run(const open_call& opened, const answer& ended) const;
     void respond(open_call& opened, const answer& ended);
-    void reject(http_exchange& exchange, const request_error& error);
+    void reject(http_exchange& exchange, const request_error& error, const std::string& id);
     [[nodiscard]] load_view& view_of(const backend_server& server);
     [[nodiscard]] retry_budget& budget_of(const call& made, std::uint32_t retry_percent);
     [[nodiscard]] eligibility_request eligibility_of(const team& owner, const service& target,
--- a/src/chervilturn/node/fwd.hpp
+++ b/src/chervilturn/node/fwd.hpp
@@ -4,6 +4,9 @@
 namespace chervilturn {
 
 struct node_context;
+struct node_protocols;
+class caller_protocol;
+class backend_protocol;
 class entry_task;
 class backend_caller;
 class backend_probe;
--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -11,21 +11,28 @@
 #include "chervilturn/observe/log.hpp"
 
 #include <csignal>
+#include <filesystem>
+#include <optional>
 
 namespace chervilturn {
 
 namespace {
 
 constexpr microseconds drain_check_period = std::chrono::milliseconds{20};
+constexpr microseconds settings_file_period = std::chrono::seconds{1};
 // Peers may still have calls on the way when this node finishes its last one.
 constexpr std::uint32_t quiet_checks_before_stop = 10;
 
-[[nodiscard]] node_context make_context(event_loop& loop, node_settings&& settings, metrics& measured,
+[[nodiscard]] node_context make_context(event_loop& loop, node_settings&& settings,
+                                        node_protocols&& protocols, metrics& measured,
                                         node_mailboxes& boxes) {
     std::random_device device;
     const auto draw = [&device] { return (static_cast<std::uint64_t>(device()) << 32U) | device(); };
-    node_context context{
-        .loop = &loop, .settings = std::move(settings), .measured = &measured, .boxes = &boxes};
+    node_context context{.loop = &loop,
+                         .settings = std::move(settings),
+                         .measured = &measured,
+                         .protocols = std::move(protocols),
+                         .boxes = &boxes};
     context.incarnation = draw() | 1U;
     if (context.settings.seed == 0) {
         context.settings.seed = draw();
@@ -36,11 +43,14 @@
 } // namespace
 
 struct node::parts {
-    explicit parts(node_settings&& settings);
+    parts(node_settings&& settings, node_protocols&& protocols);
 
     [[nodiscard]] result<success, transport_error> open_sockets();
+    void announce_stop();
     void drain();
     void check_drained();
+    void reload();
+    void check_settings_file();
     void stop(shutdown_event cause);
 
     event_loop loop;
@@ -56,14 +66,26 @@
     shutdown_machine shutdown;
     instant stop_by{};
     std::uint32_t quiet_checks = 0;
+    std::string settings_file; // empty when reloads were not asked for
+    settings_source read_settings;
+    std::optional<std::filesystem::file_time_type> file_time; // of the settings in force
     timer drain_check;
+    timer notice;
+    timer file_check;
 };
 
-node::parts::parts(node_settings&& settings)
-    : boxes{this->loop}, context{make_context(this->loop, std::move(settings), this->measured, this->boxes)},
+node::parts::parts(node_settings&& settings, node_protocols&& protocols)
+    : boxes{this->loop}, context{make_context(this->loop, std::move(settings), std::move(protocols),
+                                              this->measured, this->boxes)},
       control{this->context}, owner{this->context}, links{this->context}, peers{this->context},
-      entry{this->context}, operators{this->context}, shutdown{default_shutdown_chart()},
-      drain_check{this->loop, [this] { this->check_drained(); }} {}
+      entry{this->context}, operators{this->context,
+                                      [this] {
+                                          return this->shutdown.state() == shutdown_state::serving &&
+                                                 this->entry.has_settings();
+                                      }},
+      shutdown{default_shutdown_chart()}, drain_check{this->loop, [this] { this->check_drained(); }},
+      notice{this->loop, [this] { this->drain(); }}, file_check{this->loop,
+                                                                [this] { this->check_settings_file(); }} {}
 
 result<success, transport_error> node::parts::open_sockets() {
     if (auto opened = this->peers.start(); !succeeded(opened)) {
@@ -75,13 +97,20 @@
     return this->operators.start();
 }
 
-void node::parts::drain() {
+// Whoever asks whether this node is ready hears no from now on; calls are taken until the notice is over.
+void node::parts::announce_stop() {
     if (this->shutdown.state() != shutdown_state::serving) {
         return;
     }
+    const auto& limits = this->context.settings.limits;
     this->shutdown.apply(shutdown_event::stop_requested);
-    this->stop_by = now_monotonic() + this->context.settings.limits.shutdown_grace;
-    log_event(log_level::info, "shutdown_started", {});
+    this->stop_by = now_monotonic() + limits.shutdown_grace;
+    log_event(log_level::info, "shutdown_started",
+              {{"notice_us", limits.shutdown_notice.count()}, {"grace_us", limits.shutdown_grace.count()}});
+    this->notice.start_once(limits.shutdown_notice);
+}
+
+void node::parts::drain() {
     this->boxes.entry.post(shutdown_started{});
     this->boxes.owner.post(shutdown_started{});
     this->drain_check.start_periodic(drain_check_period);
@@ -97,13 +126,47 @@
     }
 }
 
+void node::parts::reload() {
+    const auto read = this->read_settings();
+    if (!succeeded(read)) {
+        log_event(log_level::error, "settings_reload_failed", {{"because", to_string(error_of(read))}});
+        return;
+    }
+    auto& held = this->context.settings;
+    auto fresh = value_of(read);
+    const bool moved = fresh.callers != held.callers || fresh.peers != held.peers ||
+                       fresh.operators != held.operators || fresh.backend_server != held.backend_server;
+    fresh.callers = held.callers;
+    fresh.peers = held.peers;
+    fresh.reachable_at = held.reachable_at;
+    fresh.operators = held.operators;
+    fresh.backend_server = held.backend_server;
+    fresh.platform = held.platform;
+    fresh.seed = held.seed;
+    held = std::move(fresh);
+    set_log_level(held.log_level);
+    log_event(log_level::info, "settings_reloaded",
+              {{"file", this->settings_file}, {"addresses_need_restart", moved ? "yes" : "no"}});
+}
+
+void node::parts::check_settings_file() {
+    std::error_code failure;
+    const auto changed_at = std::filesystem::last_write_time(this->settings_file, failure);
+    if (failure || changed_at == this->file_time) {
+        return;
+    }
+    this->file_time = changed_at;
+    this->reload();
+}
+
 void node::parts::stop(shutdown_event cause) {
     this->shutdown.apply(cause);
     log_event(log_level::info, "shutdown_complete", {{"cause", name_of(cause)}});
     this->loop.stop();
 }
 
-node::node(node_settings settings) : held{std::make_unique<parts>(std::move(settings))} {}
+node::node(node_settings settings, node_protocols protocols)
+    : held{std::make_unique<parts>(std::move(settings), std::move(protocols))} {}
 
 node::~node() = default;
 
@@ -127,12 +190,25 @@
     return success{};
 }
 
+void node::reload_from(const std::string& file, settings_source source) {
+    auto& parts = *this->held;
+    parts.settings_file = file;
+    parts.read_settings = std::move(source);
+    std::error_code failure;
+    const auto written_at = std::filesystem::last_write_time(file, failure);
+    if (!failure) {
+        parts.file_time = written_at;
+    }
+    parts.loop.on_signal(SIGHUP, [&parts] { parts.reload(); });
+    parts.file_check.start_periodic(settings_file_period);
+}
+
 void node::run() {
     this->held->loop.run();
 }
 
 void node::request_shutdown() {
-    this->held->drain();
+    this->held->announce_stop();
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/node/operators_task.cpp
+++ b/src/chervilturn/node/operators_task.cpp
@@ -52,7 +52,8 @@
 
 } // namespace
 
-operators_task::operators_task(const node_context& shared) : context{&shared} {}
+operators_task::operators_task(const node_context& shared, std::function<bool()> answer_ready)
+    : context{&shared}, ready{std::move(answer_ready)} {}
 
 result<success, transport_error> operators_task::start() {
     auto listening = http_server::listen(
@@ -68,7 +69,10 @@
 void operators_task::on_request(const std::shared_ptr<http_exchange>& exchange) {
     const auto& target = exchange->request().target;
     const auto path = target.substr(0, target.find('?'));
-    if (exchange->request().method != "GET") {
+    if (path == "/ready") {
+        const bool serves = this->ready();
+        respond_json(*exchange, serves ? 200 : 503, {{"ready", serves}});
+    } else if (exchange->request().method != "GET") {
         respond_json(*exchange, 405, {{"error", "only GET is served here"}});
     } else if (path == "/status") {
         this->respond_status(exchange);
@@ -79,7 +83,7 @@
                            .headers = {{"content-type", "text/plain; version=0.0.4"}},
                            .body = this->context->measured->text()});
     } else {
-        respond_json(*exchange, 404, {{"error", "path is not /status, /metrics or /explain"}});
+        respond_json(*exchange, 404, {{"error", "path is not /ready, /status, /metrics or /explain"}});
     }
 }
 
--- a/src/chervilturn/node/operators_task.hpp
+++ b/src/chervilturn/node/operators_task.hpp
@@ -7,10 +7,11 @@
 
 namespace chervilturn {
 
-/// @brief Serves GET /status, GET /metrics and GET /explain.
+/// @brief Serves GET /ready, GET /status, GET /metrics and GET /explain.
 class operators_task {
   public:
-    explicit operators_task(const node_context& context);
+    /// @brief The function tells whether the node serves calls.
+    operators_task(const node_context& context, std::function<bool()> ready);
 
     /// @brief Starts to listen on the operators' address.
     [[nodiscard]] result<success, transport_error> start();
@@ -21,6 +22,7 @@
     void respond_explanation(const std::shared_ptr<http_exchange>& exchange);
 
     const node_context* context;
+    std::function<bool()> ready;
     std::unique_ptr<http_server> server;
 };
 
--- /dev/null
+++ b/src/chervilturn/node/own_protocol.cpp
@@ -0,0 +1,134 @@
+// Responses to callers, requests to backend servers and probes, in the product's own form.
+#include "chervilturn/node/own_protocol.hpp"
+
+#include "chervilturn/node/request_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::uint16_t status_misdirected = 421;
+constexpr std::uint16_t status_unavailable = 503;
+
+[[nodiscard]] std::uint16_t status_for(const answer& ended) {
+    constexpr std::uint16_t bad_request = 400;
+    constexpr std::uint16_t conflict = 409;
+    constexpr std::uint16_t bad_gateway = 502;
+    constexpr std::uint16_t gateway_timeout = 504;
+    if (ended.result == outcome::completed) {
+        return ended.status == 0 ? conflict : ended.status;
+    }
+    if (ended.why == reason::bad_request) {
+        return bad_request;
+    }
+    if (ended.why == reason::outside_home_regions) {
+        return status_misdirected;
+    }
+    if (ended.result == outcome::not_run) {
+        return status_unavailable;
+    }
+    return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
+}
+
+[[nodiscard]] http_response refusal_response(std::uint16_t status, outcome result, reason why,
+                                             const std::string& message) {
+    const nlohmann::json body{{"outcome", std::string{to_string(result)}},
+                              {"reason", std::string{to_string(why)}},
+                              {"message", message}};
+    return {.status = status,
+            .headers = {{"content-type", "application/json"},
+                        {"chervilturn-outcome", std::string{to_string(result)}},
+                        {"chervilturn-reason", std::string{to_string(why)}}},
+            .body = body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace) + '\n'};
+}
+
+} // namespace
+
+result<accepted_request, request_error> own_caller_protocol::read(const request_place& place,
+                                                                  http_request&& request) const {
+    return read_request(place, std::move(request));
+}
+
+std::string own_caller_protocol::request_id(const http_request& request) const {
+    return std::string{find_header(request.headers, "chervilturn-request-id")};
+}
+
+http_response own_caller_protocol::refuse(const request_error& error) const {
+    return refusal_response(error.status, outcome::not_run, error.why, error.message);
+}
+
+http_response own_caller_protocol::respond(const answer& ended, const answer_context& how) const {
+    const bool has_answer = ended.result == outcome::completed && ended.status != 0;
+    auto response = has_answer
+                        ? http_response{.status = ended.status, .headers = ended.headers, .body = ended.body}
+                        : refusal_response(status_for(ended), ended.result, ended.why, "");
+    if (has_answer) {
+        response.headers.push_back({"chervilturn-outcome", std::string{to_string(ended.result)}});
+    }
+    response.headers.push_back({"chervilturn-entry", how.entry_host});
+    response.headers.push_back({"chervilturn-owner", ended.owner_host});
+    response.headers.push_back({"chervilturn-backend-server", ended.backend_server});
+    response.headers.push_back({"chervilturn-attempts", std::to_string(how.attempts)});
+    return response;
+}
+
+http_request own_backend_protocol::request(const dispatch& dispatched) const {
+    const auto& made = *dispatched.sent;
+    http_request request{
+        .method = made.method, .target = made.target, .headers = made.headers, .body = made.body};
+    const auto whole_milliseconds =
+        std::chrono::ceil<std::chrono::milliseconds>(dispatched.remaining).count();
+    request.headers.push_back({"chervilturn-deadline-ms", std::to_string(whole_milliseconds)});
+    request.headers.push_back({"chervilturn-extra-attempts", std::to_string(made.extra_attempts)});
+    request.headers.push_back({"chervilturn-depth", std::to_string(made.depth + 1)});
+    request.headers.push_back({"chervilturn-workspace", made.workspace});
+    if (made.key.given()) {
+        request.headers.push_back({"idempotency-key", made.key.text});
+    }
+    return request;
+}
+
+bool own_backend_protocol::belongs(const std::string&, const http_response&) const {
+    return true;
+}
+
+backend_response own_backend_protocol::read(const http_response& response) const {
+    const bool shed = response.status == status_unavailable &&
+                      find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run);
+    return {.kind = shed ? response_kind::refused : response_kind::answered, .load = {}};
+}
+
+http_request own_backend_protocol::probe(const std::string& path) const {
+    return {.method = "GET", .target = path, .headers = {}, .body = {}};
+}
+
+std::optional<probe_report> own_backend_protocol::read_probe(const http_response& response) const {
+    const auto told = nlohmann::json::parse(response.body, nullptr, false);
+    if (!told.is_object()) {
+        return std::nullopt;
+    }
+    probe_report report;
+    const auto boot = told.find("boot");
+    if (boot != told.end() && boot->is_string()) {
+        report.boot_mark = boot->get<std::string>();
+    }
+    const auto draining = told.find("draining");
+    report.draining = draining != told.end() && draining->is_boolean() && draining->get<bool>();
+    return report;
+}
+
+node_protocols own_protocols() {
+    return {
+        .callers = std::make_shared<own_caller_protocol>(),
+        .backend = std::make_shared<own_backend_protocol>(),
+        .make_platform = [](event_loop& loop, const node_settings& settings) -> std::unique_ptr<platform> {
+            if (settings.platform.empty()) {
+                return nullptr;
+            }
+            return std::make_unique<http_platform>(loop, settings.platform);
+        }};
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/own_protocol.hpp
@@ -0,0 +1,28 @@
+// The product's own protocols of callers and backend servers, as docs/PLATFORM.md describes them.
+#pragma once
+
+#include "chervilturn/node/protocol.hpp"
+
+namespace chervilturn {
+
+/// @brief Requests of the form /TEAM/SERVICE/PATH with headers chervilturn-*.
+class own_caller_protocol final : public caller_protocol {
+  public:
+    [[nodiscard]] result<accepted_request, request_error> read(const request_place& place,
+                                                               http_request&& request) const override;
+    [[nodiscard]] std::string request_id(const http_request& request) const override;
+    [[nodiscard]] http_response refuse(const request_error& error) const override;
+    [[nodiscard]] http_response respond(const answer& ended, const answer_context& how) const override;
+};
+
+/// @brief Calls with headers chervilturn-*, probes at /load that answer with JSON.
+class own_backend_protocol final : public backend_protocol {
+  public:
+    [[nodiscard]] http_request request(const dispatch& dispatched) const override;
+    [[nodiscard]] bool belongs(const std::string& request_id, const http_response& response) const override;
+    [[nodiscard]] backend_response read(const http_response& response) const override;
+    [[nodiscard]] http_request probe(const std::string& path) const override;
+    [[nodiscard]] std::optional<probe_report> read_probe(const http_response& response) const override;
+};
+
+} // namespace chervilturn
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -40,13 +40,14 @@
 } // namespace
 
 owner_task::owner_task(const node_context& shared)
-    : context{&shared}, gate{door_options{}}, attempts{attempt_record_options{}},
+    : context{&shared}, gate{door_options{}, now_monotonic()}, attempts{attempt_record_options{}},
       keys{shared,
            [this](call&& received, const key_decision& decision) {
                this->on_key_settled(std::move(received), decision);
            }},
       backend{shared, this->gate}, pauses{now_monotonic()}, tick{*shared.loop, [this] { this->advance(); }},
-      probe{shared, this->backend.http(), this->gate.backend()} {
+      probe{shared, this->backend.http(), this->gate.backend(),
+            [this](const probe_report& report) { this->on_probed(report); }} {
     shared.boxes->owner.on_message([this](owner_message&& received) {
         this->watch_for_pause();
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
@@ -185,7 +186,8 @@
     }
     found.target = &target->second;
     for (const auto& server : found.target->backend_servers) {
-        if (server.node == this->context->settings.reachable_at) {
+        const bool here = server.node == this->context->settings.reachable_at;
+        if (here && (found.server == nullptr || server.name == this->server_name)) {
             found.server = &server;
         }
     }
@@ -274,10 +276,12 @@
                              .workspace = received.team + '/' + received.workspace,
                              .weight = customer == here.owner->workspaces.end() ? 1 : customer->second.weight,
                              .urgent = received.urgent,
+                             .last_resort = received.last_resort,
                              .deadline = owner_deadline(now, received.remaining)};
     const auto admitted = this->gate.admit(wanted, now);
     if (const auto* refusal = std::get_if<refused>(&admitted)) {
         auto refused_call = refuse(attempt, outcome::not_run, refusal->why);
+        refused_call.retry_after = refusal->retry_after;
         refused_call.key_never_ran = needs_key_settled(received);
         this->reply(std::move(refused_call));
         return;
@@ -311,7 +315,9 @@
     }
     owned.running = true;
     owned.running_call =
-        this->backend.run(owned.received, elapsed(now, owned.deadline),
+        this->backend.run({.sent = &owned.received,
+                           .remaining = elapsed(now, owned.deadline),
+                           .server_name = this->place_of(owned.received).server->name},
                           [this](answer ended) { this->on_backend_answer(std::move(ended)); });
 }
 
@@ -327,6 +333,26 @@
     this->advance();
 }
 
+void owner_task::on_probed(const probe_report& report) {
+    const auto now = now_monotonic();
+    if (!report.server_name.empty() && report.server_name != this->server_name) {
+        log_event(log_level::info, "backend_server_named",
+                  {{"name", report.server_name}, {"before", this->server_name}});
+        this->server_name = report.server_name;
+        this->gate.cold().presume_cold(now);
+    }
+    if (report.cold_left) {
+        if (this->gate.cold().cold(now) != (*report.cold_left > microseconds::zero())) {
+            log_event(log_level::info, "backend_server_cold",
+                      {{"server", this->server_name}, {"cold_left_us", report.cold_left->count()}});
+        }
+        this->gate.cold().on_told(*report.cold_left, now);
+    }
+    if (report.load) {
+        this->gate.learn_slowdown(report.load->slowdown_percent);
+    }
+}
+
 void owner_task::refuse_waiting(reason why) {
     for (const auto& entry_waiting : this->gate.clear_queue()) {
         this->finish(refuse(entry_waiting.attempt, outcome::not_run, why));
@@ -407,10 +433,14 @@
                 if (server.node != this->context->settings.reachable_at) {
                     continue;
                 }
-                this->gate.configure({.warm_up = {.slots = server.slots,
-                                                  .cold_slots = target.cold_slots,
-                                                  .answers_per_slot = target.warm_up_answers},
-                                      .max_queue = target.max_queue});
+                this->gate.configure(
+                    {.warm_up = {.slots = server.slots,
+                                 .cold_slots = target.cold_slots,
+                                 .answers_per_slot = target.warm_up_answers},
+                     .cold = {.calls_per_second = target.cold_per_second, .cold_start = target.cold_start},
+                     .max_queue = target.max_queue},
+                    now_monotonic());
+                this->probe.set_path(target.probe_path);
                 return;
             }
         }
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -57,6 +57,7 @@
     void admit(call&& received);
     void dispatch(const attempt_id& attempt);
     void on_backend_answer(answer ended);
+    void on_probed(const probe_report& report);
     void refuse_waiting(reason why);
     void recheck_waiting();
     void finish(answer ended);
@@ -75,6 +76,7 @@
     pause_detector pauses;
     bool beliefs_in_doubt = true; // nothing is dispatched while in doubt
     bool shutting_down = false;
+    std::string server_name; // of the backend server, as it said itself; empty before
     timer tick;
     backend_probe probe;
 };
--- a/src/chervilturn/node/platform.cpp
+++ b/src/chervilturn/node/platform.cpp
@@ -57,8 +57,8 @@
 
 http_platform::http_platform(event_loop& loop, const std::vector<address>& addresses) {
     for (const auto& where : addresses) {
-        this->clients.push_back(
-            std::make_unique<http_client>(loop, where, http_client_options{max_response_bytes, 4}));
+        this->clients.push_back(std::make_unique<http_client>(
+            loop, where, http_client_options{.max_body_bytes = max_response_bytes, .max_idle = 4}));
     }
 }
 
--- a/src/chervilturn/node/platform.hpp
+++ b/src/chervilturn/node/platform.hpp
@@ -23,6 +23,7 @@
 /// @brief Everything that changed after a revision, up to another.
 struct watch_result {
     revision_number revision = 0;
+    bool complete = false; // every leaf is listed; all others do not exist
     std::vector<changed_leaf> changed;
 };
 
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -9,10 +9,8 @@
 
 namespace {
 
-constexpr microseconds watch_wait = std::chrono::seconds{20};
 constexpr microseconds shortest_back_off = std::chrono::milliseconds{250};
 constexpr microseconds longest_back_off = std::chrono::seconds{4};
-constexpr microseconds pause_between_watches = std::chrono::milliseconds{50};
 constexpr std::size_t parallel_reads = 4;
 constexpr std::uint32_t max_doublings = 8;
 constexpr double jitter_low = 0.5;
@@ -52,7 +50,7 @@
     const auto started = ++this->round;
     ++this->context->measured->counters().platform_reads;
     // The first exchange does not wait: it tells what is there and that the platform can be reached.
-    const auto wait = this->reached() ? watch_wait : microseconds::zero();
+    const auto wait = this->reached() ? this->context->settings.reading.wait : microseconds::zero();
     this->source->watch(this->complete, wait,
                         [this, started](const result<watch_result, platform_error>& watched) {
                             this->on_watched(started, watched);
@@ -73,7 +71,11 @@
         log_event(log_level::warn, "platform_stale",
                   {{"revision", seen.revision}, {"complete", this->complete}});
     }
-    this->current = batch{.revision = seen.revision, .subtree_revisions = {}, .unread = {}, .leaves = {}};
+    this->current = batch{.revision = seen.revision,
+                          .complete = seen.complete,
+                          .subtree_revisions = {},
+                          .unread = {},
+                          .leaves = {}};
     for (const auto& changed : seen.changed) {
         const auto subtree = subtree_of(changed.path);
         if (!subtree.empty()) {
@@ -126,7 +128,10 @@
     this->complete = std::max(this->complete, this->current.revision);
     std::map<std::string, subtree_snapshot> snapshots;
     for (const auto& [subtree, revision] : this->current.subtree_revisions) {
-        snapshots[subtree] = {.subtree = subtree, .revision = revision, .leaves = {}};
+        snapshots[subtree] = {.subtree = subtree,
+                              .revision = this->current.complete ? this->current.revision : revision,
+                              .complete = this->current.complete,
+                              .leaves = {}};
     }
     for (auto& read : this->current.leaves) {
         snapshots[subtree_of(read.path)].leaves.push_back(std::move(read));
@@ -136,7 +141,7 @@
     for (auto& [subtree, snapshot] : snapshots) {
         finished.push_back(std::move(snapshot));
     }
-    this->schedule(pause_between_watches);
+    this->schedule(this->context->settings.reading.pause);
     this->handler(std::move(finished));
 }
 
--- a/src/chervilturn/node/settings_reader.hpp
+++ b/src/chervilturn/node/settings_reader.hpp
@@ -38,6 +38,7 @@
   private:
     struct batch {
         revision_number revision = 0;
+        bool complete = false; // leaves that are not in it do not exist
         std::map<std::string, revision_number> subtree_revisions;
         std::deque<std::string> unread;
         std::vector<leaf> leaves;
--- a/src/chervilturn/observe/log.cpp
+++ b/src/chervilturn/observe/log.cpp
@@ -85,6 +85,10 @@
     logger()->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
 
+void set_log_level(const std::string& level) {
+    logger()->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
+}
+
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
     const auto target = to_log4cxx(level);
     if (!logger()->isEnabledFor(target)) {
--- a/src/chervilturn/observe/log.hpp
+++ b/src/chervilturn/observe/log.hpp
@@ -26,6 +26,9 @@
 /// @brief Sends log lines to standard error from a level on; host marks every line.
 void start_logging(const std::string& level, const std::string& host);
 
+/// @brief Changes the level of a log that was started.
+void set_log_level(const std::string& level);
+
 /// @brief Writes one event.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
--- a/src/chervilturn/selection/policy.cpp
+++ b/src/chervilturn/selection/policy.cpp
@@ -106,6 +106,21 @@
     return best_of_sample(candidates, positions, random, now);
 }
 
+const split_part& pick_split_part(std::span<const split_part> parts, random_source& random) {
+    double total = 0.0;
+    for (const auto& part : parts) {
+        total += part.weight;
+    }
+    double drawn = random.uniform(0.0, total);
+    for (const auto& part : parts) {
+        drawn -= part.weight;
+        if (drawn < 0.0) {
+            return part;
+        }
+    }
+    return parts.front();
+}
+
 std::unique_ptr<policy> make_policy(std::string_view name) {
     if (name == "uniform_random") {
         return std::make_unique<uniform_random>();
--- a/src/chervilturn/selection/policy.hpp
+++ b/src/chervilturn/selection/policy.hpp
@@ -1,6 +1,7 @@
 // Selection policies behind one interface, the baselines and the default among them.
 #pragma once
 
+#include "chervilturn/config/model.hpp"
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/selection/load_view.hpp"
 
@@ -76,6 +77,10 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "load_aware"; }
 };
 
+/// @brief Draws one part of a traffic split, each with the chance of its weight. Parts are never empty;
+/// without any weight the first is drawn.
+[[nodiscard]] const split_part& pick_split_part(std::span<const split_part> parts, random_source& random);
+
 /// @brief Creates a policy by its settings name; null for an unknown name.
 [[nodiscard]] std::unique_ptr<policy> make_policy(std::string_view name);
 
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -85,6 +85,7 @@
 void write_snapshot(wire::SubtreeUpdate::Builder target, const subtree_snapshot& snapshot) {
     target.setSubtree(to_text(snapshot.subtree));
     target.setRevision(snapshot.revision);
+    target.setComplete(snapshot.complete);
     auto list = target.initLeaves(static_cast<unsigned>(snapshot.leaves.size()));
     for (std::size_t index = 0; index < snapshot.leaves.size(); ++index) {
         auto item = list[static_cast<unsigned>(index)];
@@ -96,8 +97,10 @@
 }
 
 [[nodiscard]] subtree_snapshot read_snapshot(wire::SubtreeUpdate::Reader source) {
-    subtree_snapshot snapshot{
-        .subtree = from_text(source.getSubtree()), .revision = source.getRevision(), .leaves = {}};
+    subtree_snapshot snapshot{.subtree = from_text(source.getSubtree()),
+                              .revision = source.getRevision(),
+                              .complete = source.getComplete(),
+                              .leaves = {}};
     for (const auto item : source.getLeaves()) {
         snapshot.leaves.push_back({.path = from_text(item.getPath()),
                                    .revision = item.getRevision(),
@@ -124,6 +127,9 @@
     target.setTarget(to_text(sent.target));
     write_headers(target.initHeaders(static_cast<unsigned>(sent.headers.size())), sent.headers);
     target.setBody(to_data(sent.body));
+    target.setRequestId(to_text(sent.request_id));
+    target.setOrigin(to_text(sent.origin));
+    target.setLastResort(sent.last_resort);
 }
 
 [[nodiscard]] call read_call(wire::Call::Reader source) {
@@ -146,6 +152,9 @@
     received.target = from_text(source.getTarget());
     received.headers = read_headers(source.getHeaders());
     received.body = from_data(source.getBody());
+    received.request_id = from_text(source.getRequestId());
+    received.origin = from_text(source.getOrigin());
+    received.last_resort = source.getLastResort();
     return received;
 }
 
@@ -160,10 +169,13 @@
     load.setInUse(sent.load.in_use);
     load.setQueued(sent.load.queued);
     load.setLimit(sent.load.limit);
+    load.setSlowdownPercent(sent.load.slowdown_percent);
     target.setServiceMicros(static_cast<std::uint64_t>(sent.service_time.count()));
     target.setBackendServer(to_text(sent.backend_server));
     target.setOwnerHost(to_text(sent.owner_host));
     target.setKeyNeverRan(sent.key_never_ran);
+    target.setRetryAfterMicros(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, sent.retry_after.count())));
 }
 
 [[nodiscard]] result<answer, codec_error> read_answer(wire::Answer::Reader source) {
@@ -180,11 +192,13 @@
     received.body = from_data(source.getBody());
     received.load = {.in_use = source.getLoad().getInUse(),
                      .queued = source.getLoad().getQueued(),
-                     .limit = source.getLoad().getLimit()};
+                     .limit = source.getLoad().getLimit(),
+                     .slowdown_percent = source.getLoad().getSlowdownPercent()};
     received.service_time = microseconds{static_cast<std::int64_t>(source.getServiceMicros())};
     received.backend_server = from_text(source.getBackendServer());
     received.owner_host = from_text(source.getOwnerHost());
     received.key_never_ran = source.getKeyNeverRan();
+    received.retry_after = microseconds{static_cast<std::int64_t>(source.getRetryAfterMicros())};
     return received;
 }
 
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -1,4 +1,4 @@
-// HTTP/1.1 towards callers, operators, backend servers and the platform, by evhttp.
+// HTTP/1.1 towards callers, operators, backend servers and the platform: http-parser over libevent sockets.
 #pragma once
 
 #include "chervilturn/call/call.hpp"
@@ -14,10 +14,7 @@
 #include <variant>
 #include <vector>
 
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_connection;
-struct evhttp_request;
+struct evconnlistener;
 
 namespace chervilturn {
 
@@ -42,7 +39,7 @@
     timed_out, // no whole response in time
     cut,       // the connection ended before the response was whole
     too_large, // the response exceeds the limit
-    unframed,  // the response has no length, so nobody can tell whether it is whole
+    malformed, // bytes that are no response
     cancelled
 };
 
@@ -61,13 +58,18 @@
 struct http_server_options {
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 8UL * 1024 * 1024;
-    std::chrono::seconds idle_timeout{75};
+    microseconds header_timeout = std::chrono::seconds{10}; // from the first byte of a request to its last
+    microseconds idle_timeout = std::chrono::seconds{75};   // between two requests on a connection
 };
 
+namespace internal {
+class server_connection;
+} // namespace internal
+
 /// @brief One request to a server and the chance to respond to it, once.
 class http_exchange {
   public:
-    http_exchange(evhttp_request* held, http_request request, std::shared_ptr<std::size_t> in_flight);
+    http_exchange(std::weak_ptr<internal::server_connection> connection, http_request request);
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
     ~http_exchange();
@@ -78,16 +80,21 @@
     /// @brief Responds; does nothing when the other side has gone.
     void respond(const http_response& response);
 
+    /// @brief Ends the connection without a response.
+    void abort();
+
     /// @brief Called when the other side closes before the response.
     void on_abandoned(std::function<void()> handler) { this->abandoned = std::move(handler); }
 
   private:
-    void forget_connection() noexcept;
+    friend class internal::server_connection;
 
-    evhttp_request* held; // null once responded or gone
+    void notice_abandoned();
+
+    std::weak_ptr<internal::server_connection> connection; // reset once responded
     http_request received;
+    bool head = false; // a response to HEAD carries no body
     std::function<void()> abandoned;
-    std::shared_ptr<std::size_t> in_flight; // responses of the server not yet written out
 };
 
 /// @brief Serves HTTP on one address.
@@ -103,25 +110,60 @@
     http_server& operator=(const http_server&) = delete;
     ~http_server();
 
+    /// @brief Changes limits and time-outs, also of open connections.
+    void configure(const http_server_options& changed) noexcept { this->options = changed; }
+
+    [[nodiscard]] const http_server_options& limits() const noexcept { return this->options; }
+
+    /// @brief Asks callers by each response to close their connections.
+    void close_after_responses() noexcept { this->closing = true; }
+
     /// @brief Stops to accept connections; requests in progress go on.
     void stop_accepting() noexcept;
 
-    /// @brief Responses that are not yet written out whole.
-    [[nodiscard]] std::size_t responses_in_flight() const noexcept { return *this->in_flight; }
+    /// @brief Whether nothing is read, at work or being written on any connection.
+    [[nodiscard]] bool idle() const noexcept;
+
+    /// @brief Open connections.
+    [[nodiscard]] std::size_t connections() const noexcept { return this->open.size(); }
 
   private:
-    explicit http_server(request_handler receiver) : handler{std::move(receiver)} {}
+    friend class internal::server_connection;
 
+    http_server(event_loop& loop, const http_server_options& options, request_handler handler);
+
+    void on_accepted(int socket);
+    void sweep();
+    void forget(const internal::server_connection& ended);
+
+    event_loop* loop; // outlives the server
+    http_server_options options;
     request_handler handler;
-    evhttp* server = nullptr;
-    evhttp_bound_socket* socket = nullptr;
-    std::shared_ptr<std::size_t> in_flight = std::make_shared<std::size_t>(0);
+    evconnlistener* socket = nullptr;
+    std::list<std::shared_ptr<internal::server_connection>> open;
+    bool closing = false; // responses ask the other side to close
+    timer sweeper;
 };
 
 /// @brief Limits of an HTTP client.
 struct http_client_options {
+    std::size_t max_header_bytes = 64UL * 1024;
     std::size_t max_body_bytes = 64UL * 1024 * 1024;
-    std::size_t max_idle = 32; // connections kept open
+    std::size_t max_idle = 32;                           // connections kept open
+    microseconds idle_timeout = std::chrono::seconds{4}; // shorter than servers commonly keep theirs
+    microseconds connect_timeout = std::chrono::seconds{1};
+};
+
+namespace internal {
+class client_connection;
+} // namespace internal
+
+/// @brief How one request is sent.
+struct http_send_options {
+    microseconds timeout{};
+    bool fresh_connection = false; // never on a connection that carried a request before
+    /// Whether a response belongs to this request. Others are dropped, as servers may answer twice.
+    std::function<bool(const http_response&)> belongs;
 };
 
 /// @brief Sends requests to one address, each on a connection of its own at the time.
@@ -138,6 +180,8 @@
     ~http_client();
 
     /// @brief Sends a request. The handler is called once, later.
+    std::weak_ptr<exchange> send(const http_request& request, http_send_options how,
+                                 response_handler handler);
     std::weak_ptr<exchange> send(const http_request& request, microseconds timeout, response_handler handler);
 
     /// @brief Gives a request up by closing its connection; its handler is called with cancelled.
@@ -146,23 +190,28 @@
     /// @brief Drops all idle connections.
     void drop_idle() noexcept;
 
+    /// @brief Connections opened so far.
+    [[nodiscard]] std::uint64_t opened() const noexcept { return this->opened_count; }
+
   private:
-    struct connection_deleter {
-        void operator()(evhttp_connection* held) const noexcept;
-    };
-    using connection_handle = std::unique_ptr<evhttp_connection, connection_deleter>;
+    friend class internal::client_connection;
+    using connection_handle = std::shared_ptr<internal::client_connection>;
 
-    [[nodiscard]] connection_handle take_connection();
+    [[nodiscard]] connection_handle take_connection(bool fresh);
+    void keep(connection_handle connection);
+    void discard(const internal::client_connection& ended) noexcept;
+    void sweep();
     void finish(exchange& finished, http_result outcome);
 
     event_loop* loop; // outlives the client
     address target;
     http_client_options options;
     std::vector<connection_handle> idle;
-    std::vector<connection_handle> discarded;     // freed outside their own callbacks
-    std::vector<std::shared_ptr<exchange>> ended; // likewise
+    std::vector<std::pair<std::shared_ptr<exchange>, http_result>> ended; // handlers still to be called
     std::list<std::shared_ptr<exchange>> in_progress;
-    wake_up discard;
+    std::uint64_t opened_count = 0;
+    wake_up deliver;
+    timer sweeper;
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/transport/http_common.cpp
+++ b/src/chervilturn/transport/http_common.cpp
@@ -17,7 +17,7 @@
 
 std::string_view to_string(http_failure failure) noexcept {
     constexpr std::array<std::string_view, 6> names{"refused",   "timed_out", "cut",
-                                                    "too_large", "unframed",  "cancelled"};
+                                                    "too_large", "malformed", "cancelled"};
     return names.at(static_cast<std::size_t>(failure));
 }
 
--- /dev/null
+++ b/src/chervilturn/transport/http_reader.cpp
@@ -0,0 +1,261 @@
+// Strict reading of HTTP/1.1 messages.
+#include "chervilturn/transport/http_reader.hpp"
+
+#include "chervilturn/transport/http.hpp"
+
+#include <algorithm>
+#include <array>
+#include <event2/buffer.h>
+#include <strings.h>
+
+namespace chervilturn::internal {
+
+namespace {
+
+constexpr std::string_view head_end = "\r\n\r\n";
+constexpr std::size_t max_length_digits = 15; // of a Content-Length
+constexpr unsigned char first_printable = 0x20;
+constexpr unsigned char delete_character = 0x7F;
+
+[[nodiscard]] bool is_token_character(char character) noexcept {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+           (character >= '0' && character <= '9') || marks.find(character) != std::string_view::npos;
+}
+
+[[nodiscard]] bool is_text_character(char character) noexcept {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte == '\t' || (byte >= first_printable && byte != delete_character);
+}
+
+// A header line: a token directly before the colon, no fold of the line before, no control characters.
+[[nodiscard]] bool is_header_line(std::string_view line) noexcept {
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    return std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), is_token_character);
+}
+
+[[nodiscard]] bool is_clean_head(std::string_view head) noexcept {
+    bool first = true;
+    while (!head.empty()) {
+        const auto end = head.find("\r\n");
+        const auto line = head.substr(0, end);
+        if (!std::all_of(line.begin(), line.end(), is_text_character)) {
+            return false;
+        }
+        if (!first && !line.empty() && !is_header_line(line)) {
+            return false;
+        }
+        first = false;
+        head.remove_prefix(std::min(head.size(), end == std::string_view::npos ? head.size() : end + 2));
+    }
+    return true;
+}
+
+// A line feed without its carriage return never becomes a valid head, so nothing more is waited for.
+[[nodiscard]] bool has_bare_line_feed(std::string_view text) noexcept {
+    for (auto found = text.find('\n'); found != std::string_view::npos; found = text.find('\n', found + 1)) {
+        if (found == 0 || text[found - 1] != '\r') {
+            return true;
+        }
+    }
+    return false;
+}
+
+[[nodiscard]] bool is_length(std::string_view value) noexcept {
+    return !value.empty() && value.size() <= max_length_digits &&
+           std::all_of(value.begin(), value.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
+}
+
+[[nodiscard]] bool same_name(std::string_view left, std::string_view right) noexcept {
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+[[nodiscard]] std::size_t count_of(const std::vector<header>& headers, std::string_view name) {
+    return static_cast<std::size_t>(std::count_if(
+        headers.begin(), headers.end(), [name](const header& item) { return same_name(item.name, name); }));
+}
+
+} // namespace
+
+/// @brief What http-parser calls while it reads.
+struct http_reader::callbacks {
+    [[nodiscard]] static http_reader& reader_of(http_parser* parser) {
+        return *static_cast<http_reader*>(parser->data);
+    }
+
+    static int on_url(http_parser* parser, const char* at, std::size_t length) {
+        reader_of(parser).current.target.append(at, length);
+        return 0;
+    }
+
+    static int on_name(http_parser* parser, const char* at, std::size_t length) {
+        reader_of(parser).current.headers.push_back({std::string{at, length}, {}});
+        return 0;
+    }
+
+    static int on_value(http_parser* parser, const char* at, std::size_t length) {
+        auto& headers = reader_of(parser).current.headers;
+        if (headers.empty()) {
+            return 1;
+        }
+        headers.back().value.append(at, length);
+        return 0;
+    }
+
+    static int on_head(http_parser* parser) {
+        auto& reader = reader_of(parser);
+        reader.head_done = true;
+        reader.current.status = static_cast<std::uint16_t>(parser->status_code);
+        if (reader.kind == http_kind::request) {
+            reader.current.method = http_method_str(static_cast<http_method>(parser->method));
+        }
+        constexpr int no_body = 1;
+        return reader.head_response ? no_body : 0;
+    }
+
+    static int on_body(http_parser* parser, const char* at, std::size_t length) {
+        auto& reader = reader_of(parser);
+        if (reader.current.body.size() + length > reader.options.max_body_bytes) {
+            reader.body_exceeds_limit = true;
+            return 1;
+        }
+        reader.current.body.append(at, length);
+        return 0;
+    }
+
+    static int on_complete(http_parser* parser) {
+        auto& reader = reader_of(parser);
+        reader.done = true;
+        reader.current.keep_alive = http_should_keep_alive(parser) != 0;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+};
+
+http_reader::http_reader(http_kind expected, const http_reader_options& given)
+    : kind{expected}, options{given} {
+    this->reset();
+}
+
+void http_reader::reset(bool is_head_response) {
+    http_parser_init(&this->parser, this->kind == http_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+    this->current = {};
+    this->head_done = false;
+    this->done = false;
+    this->head_response = is_head_response;
+    this->body_exceeds_limit = false;
+}
+
+read_status http_reader::consume(evbuffer* input) {
+    if (!this->head_done) {
+        const auto status = this->consume_head(input);
+        if (status != read_status::complete) {
+            return status;
+        }
+        if (this->done) {
+            return read_status::complete;
+        }
+    }
+    return this->consume_body(input);
+}
+
+read_status http_reader::finish() {
+    if (!this->head_done) {
+        return read_status::malformed;
+    }
+    std::size_t taken = 0;
+    const auto status = this->parse(nullptr, 0, taken);
+    return status == read_status::incomplete ? read_status::malformed : status;
+}
+
+// Returns complete once the head was parsed, whether or not a body follows.
+read_status http_reader::consume_head(evbuffer* input) {
+    std::array<char, 2> start{};
+    while (evbuffer_copyout(input, start.data(), start.size()) == 2 && start[0] == '\r' && start[1] == '\n') {
+        evbuffer_drain(input, start.size()); // empty lines before a message are allowed
+    }
+    const auto end = evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
+    const auto available = evbuffer_get_length(input);
+    if (end.pos < 0) {
+        if (available > this->options.max_header_bytes) {
+            return read_status::head_too_large;
+        }
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+        return has_bare_line_feed({bytes, available}) ? read_status::malformed : read_status::incomplete;
+    }
+    const auto length = static_cast<std::size_t>(end.pos) + head_end.size();
+    if (length > this->options.max_header_bytes) {
+        return read_status::head_too_large;
+    }
+    const auto* bytes =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+    if (!is_clean_head({bytes, length})) {
+        return read_status::malformed;
+    }
+    std::size_t taken = 0;
+    const auto status = this->parse(bytes, length, taken);
+    evbuffer_drain(input, taken);
+    if (status == read_status::malformed || status == read_status::body_too_large) {
+        return status;
+    }
+    return this->head_done && this->framing_is_clear() ? read_status::complete : read_status::malformed;
+}
+
+read_status http_reader::consume_body(evbuffer* input) {
+    while (evbuffer_get_length(input) > 0) {
+        evbuffer_iovec chunk{};
+        evbuffer_peek(input, -1, nullptr, &chunk, 1);
+        std::size_t taken = 0;
+        const auto status = this->parse(static_cast<const char*>(chunk.iov_base), chunk.iov_len, taken);
+        evbuffer_drain(input, taken);
+        if (status != read_status::incomplete) {
+            return status;
+        }
+    }
+    return read_status::incomplete;
+}
+
+read_status http_reader::parse(const char* bytes, std::size_t length, std::size_t& taken) {
+    static const http_parser_settings settings = [] {
+        http_parser_settings made{};
+        made.on_url = callbacks::on_url;
+        made.on_header_field = callbacks::on_name;
+        made.on_header_value = callbacks::on_value;
+        made.on_headers_complete = callbacks::on_head;
+        made.on_body = callbacks::on_body;
+        made.on_message_complete = callbacks::on_complete;
+        return made;
+    }();
+    taken = http_parser_execute(&this->parser, &settings, bytes, length);
+    if (this->done) {
+        return read_status::complete;
+    }
+    if (this->body_exceeds_limit) {
+        return read_status::body_too_large;
+    }
+    return HTTP_PARSER_ERRNO(&this->parser) == HPE_OK ? read_status::incomplete : read_status::malformed;
+}
+
+// The length of the body must be beyond doubt: one Content-Length in digits, or chunked alone, or neither.
+bool http_reader::framing_is_clear() const {
+    const auto& headers = this->current.headers;
+    const auto lengths = count_of(headers, "content-length");
+    const auto codings = count_of(headers, "transfer-encoding");
+    if (lengths + codings > 1) {
+        return false;
+    }
+    if (lengths == 1 && !is_length(find_header(headers, "content-length"))) {
+        return false;
+    }
+    if (codings == 1 && (!same_name(find_header(headers, "transfer-encoding"), "chunked") ||
+                         this->parser.http_major != 1 || this->parser.http_minor != 1)) {
+        return false;
+    }
+    return this->kind == http_kind::response || count_of(headers, "host") <= 1;
+}
+
+} // namespace chervilturn::internal
--- /dev/null
+++ b/src/chervilturn/transport/http_stream.cpp
@@ -0,0 +1,90 @@
+// Buffered sockets of libevent.
+#include "chervilturn/transport/http_stream.hpp"
+
+#include "chervilturn/transport/socket_address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/tcp.h>
+#include <new>
+#include <sys/socket.h>
+
+namespace chervilturn::internal {
+
+namespace {
+
+void disable_delay(evutil_socket_t socket) {
+    const int enabled = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+} // namespace
+
+http_stream::http_stream(event_loop& loop, int socket)
+    : stream{bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)} {
+    if (this->stream == nullptr) {
+        throw std::bad_alloc{};
+    }
+    bufferevent_setcb(
+        this->stream, [](bufferevent*, void* self) { static_cast<http_stream*>(self)->on_readable(); },
+        [](bufferevent*, void* self) { static_cast<http_stream*>(self)->on_written(); },
+        [](bufferevent*, short what, void* self) { static_cast<http_stream*>(self)->on_event(what); }, this);
+    if (socket >= 0) {
+        disable_delay(socket);
+    }
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+}
+
+http_stream::~http_stream() {
+    this->close();
+}
+
+void http_stream::close() noexcept {
+    if (this->stream != nullptr) {
+        bufferevent_free(this->stream);
+        this->stream = nullptr;
+    }
+}
+
+void http_stream::connect(const address& target) {
+    const auto where = to_socket_address(target);
+    bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr*>(&where), sizeof(where));
+}
+
+void http_stream::write(const std::string& bytes) {
+    bufferevent_write(this->stream, bytes.data(), bytes.size());
+}
+
+evbuffer* http_stream::input() const noexcept {
+    return bufferevent_get_input(this->stream);
+}
+
+std::size_t http_stream::unwritten() const noexcept {
+    return this->stream == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
+void http_stream::end_writing() noexcept {
+    shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+}
+
+void http_stream::pause_reading() noexcept {
+    bufferevent_disable(this->stream, EV_READ);
+}
+
+void http_stream::resume_reading() noexcept {
+    bufferevent_enable(this->stream, EV_READ);
+}
+
+void http_stream::on_event(short what) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        disable_delay(bufferevent_getfd(this->stream));
+        this->on_connected();
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+        this->on_end(stream_end::in_order);
+    } else if ((what & BEV_EVENT_ERROR) != 0) {
+        this->on_end(stream_end::broken);
+    }
+}
+
+} // namespace chervilturn::internal
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b64b1b596b5d53ef, 4, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(b64b1b596b5d53ef, 4, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1bb632b5e17b2e, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1bb632b5e17b2e, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4ba5f2c1304dc67, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f4ba5f2c1304dc67, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -812,6 +812,14 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasOrigin() const;
+  inline  ::capnp::Text::Reader getOrigin() const;
+
+  inline bool getLastResort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -928,6 +936,23 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasOrigin();
+  inline  ::capnp::Text::Builder getOrigin();
+  inline void setOrigin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+
+  inline bool getLastResort();
+  inline void setLastResort(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -978,6 +1003,8 @@
 
   inline  ::uint32_t getLimit() const;
 
+  inline  ::uint32_t getSlowdownPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1015,6 +1042,9 @@
   inline  ::uint32_t getLimit();
   inline void setLimit( ::uint32_t value);
 
+  inline  ::uint32_t getSlowdownPercent();
+  inline void setSlowdownPercent( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1086,6 +1116,8 @@
 
   inline bool getKeyNeverRan() const;
 
+  inline  ::uint64_t getRetryAfterMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1171,6 +1203,9 @@
   inline bool getKeyNeverRan();
   inline void setKeyNeverRan(bool value);
 
+  inline  ::uint64_t getRetryAfterMicros();
+  inline void setRetryAfterMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1502,6 +1537,8 @@
   inline bool hasLeaves() const;
   inline  ::capnp::List< ::chervilturn::wire::Leaf,  ::capnp::Kind::STRUCT>::Reader getLeaves() const;
 
+  inline bool getComplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1547,6 +1584,9 @@
   inline void adoptLeaves(::capnp::Orphan< ::capnp::List< ::chervilturn::wire::Leaf,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::chervilturn::wire::Leaf,  ::capnp::Kind::STRUCT>> disownLeaves();
 
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3110,6 +3150,88 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool Call::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool Call::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setOrigin( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initOrigin(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptOrigin(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool Call::Reader::getLastResort() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getLastResort() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setLastResort(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getInUse() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3152,6 +3274,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Load::Reader::getSlowdownPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 100u);
+}
+
+inline  ::uint32_t Load::Builder::getSlowdownPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 100u);
+}
+inline void Load::Builder::setSlowdownPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 100u);
+}
+
 inline bool Answer::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3436,6 +3572,20 @@
       ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Answer::Reader::getRetryAfterMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Answer::Builder::getRetryAfterMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setRetryAfterMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SubtreeRevision::Reader::hasSubtree() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3724,6 +3874,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool SubtreeUpdate::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool SubtreeUpdate::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void SubtreeUpdate::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Update::Reader::hasSubtrees() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -101,6 +101,12 @@
         const auto next = gate.admit(entry_of(103, "a", now + 9s), now);
         REQUIRE(std::holds_alternative<refused>(next));
         CHECK(std::get<refused>(next).why == reason::backend_slow);
+        SECTION("but a call that has nowhere else to go waits, and stays") {
+            auto alone = entry_of(104, "a", now + 9s);
+            alone.last_resort = true;
+            REQUIRE(std::holds_alternative<queued>(gate.admit(alone, now)));
+            CHECK(gate.advance(now).shed.empty());
+        }
     }
 }
 
--- /dev/null
+++ b/test/chervilturn/transport/http_reader_test.cpp
@@ -0,0 +1,159 @@
+// Reading of HTTP messages: whole ones in any pieces, and nothing that two readers could take differently.
+#include "chervilturn/transport/http_reader.hpp"
+
+#include "chervilturn/transport/http.hpp"
+
+#include <catch2/catch.hpp>
+#include <event2/buffer.h>
+
+namespace chervilturn::internal {
+
+namespace {
+
+class text_buffer {
+  public:
+    explicit text_buffer(std::string_view text = {}) : held{evbuffer_new()} { this->add(text); }
+    text_buffer(const text_buffer&) = delete;
+    text_buffer& operator=(const text_buffer&) = delete;
+    ~text_buffer() { evbuffer_free(this->held); }
+
+    void add(std::string_view text) { evbuffer_add(this->held, text.data(), text.size()); }
+    [[nodiscard]] evbuffer* get() const { return this->held; }
+    [[nodiscard]] std::size_t left() const { return evbuffer_get_length(this->held); }
+
+  private:
+    evbuffer* held;
+};
+
+read_status read_request_text(std::string_view text) {
+    http_reader reader{http_kind::request, {}};
+    const text_buffer input{text};
+    return reader.consume(input.get());
+}
+
+} // namespace
+
+TEST_CASE("a request is read whole") {
+    const std::string text = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+
+    SECTION("in one piece, and nothing behind it") {
+        http_reader reader{http_kind::request, {}};
+        const text_buffer input{text + "GET / HTTP/1.1\r\n"};
+        REQUIRE(reader.consume(input.get()) == read_status::complete);
+        CHECK(reader.message().method == "POST");
+        CHECK(reader.message().target == "/a?b=c");
+        CHECK(reader.message().body == "hello");
+        CHECK(reader.message().keep_alive);
+        CHECK(input.left() == std::string{"GET / HTTP/1.1\r\n"}.size());
+    }
+    SECTION("byte by byte") {
+        http_reader reader{http_kind::request, {}};
+        text_buffer input;
+        for (std::size_t index = 0; index + 1 < text.size(); ++index) {
+            input.add(text.substr(index, 1));
+            REQUIRE(reader.consume(input.get()) == read_status::incomplete);
+        }
+        input.add(text.substr(text.size() - 1));
+        REQUIRE(reader.consume(input.get()) == read_status::complete);
+        CHECK(reader.message().body == "hello");
+    }
+    SECTION("in chunks") {
+        http_reader reader{http_kind::request, {}};
+        const text_buffer input{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"};
+        REQUIRE(reader.consume(input.get()) == read_status::complete);
+        CHECK(reader.message().body == "abcde");
+    }
+    SECTION("one after the other on a connection") {
+        http_reader reader{http_kind::request, {}};
+        const text_buffer input{"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"};
+        REQUIRE(reader.consume(input.get()) == read_status::complete);
+        reader.reset();
+        REQUIRE(reader.consume(input.get()) == read_status::complete);
+        CHECK(reader.message().target == "/2");
+    }
+}
+
+TEST_CASE("a request that could hide another is refused") {
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    const std::vector<std::string> malformed{
+        "Content-Length: 0\r\nContent-Length: 5\r\n\r\nhello",
+        "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+        "Content-Length: 5, 5\r\n\r\nhello",
+        "Content-Length: +4\r\n\r\nbody",
+        "Content-Length: -1\r\n\r\n",
+        "Content-Length: 0x4\r\n\r\nbody",
+        "Content-Length:\r\n\r\n",
+        "Content-Length : 3\r\n\r\nabc",
+        "Content-Length: 99999999999999999999\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "X-A: 1\r\n folded: 2\r\n\r\n",
+        "X-A: 1\r\n\tfolded\r\n\r\n",
+        " X-A: 1\r\n\r\n",
+        "X A: 1\r\n\r\n",
+        "no colon\r\n\r\n",
+        ": no name\r\n\r\n",
+        "X-A: a\rb\r\n\r\n",
+        "X-A: 1\nContent-Length: 5\r\n\r\nhello",
+        "Host: second\r\n\r\n",
+        std::string{"X-A: a\0b\r\n\r\n", 12},
+    };
+    for (const auto& rest : malformed) {
+        CAPTURE(rest);
+        CHECK(read_request_text(start + rest) == read_status::malformed);
+    }
+    CHECK(read_request_text("nonsense\r\n\r\n") == read_status::malformed);
+    CHECK(read_request_text("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+          read_status::malformed);
+    CHECK(read_request_text("GET / HTTP/1.1\nHost: h\n\n") == read_status::malformed);
+}
+
+TEST_CASE("limits hold before a message is whole") {
+    http_reader reader{http_kind::request, {.max_header_bytes = 100, .max_body_bytes = 10}};
+    SECTION("of the head") {
+        const text_buffer input{"GET / HTTP/1.1\r\nX: " + std::string(200, 'a')};
+        CHECK(reader.consume(input.get()) == read_status::head_too_large);
+    }
+    SECTION("of the body, by its length or in chunks") {
+        const text_buffer input{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" +
+                                std::string(20, 'b')};
+        CHECK(reader.consume(input.get()) == read_status::body_too_large);
+        http_reader chunks{http_kind::request, {.max_header_bytes = 100, .max_body_bytes = 10}};
+        const text_buffer chunked{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n" +
+                                  std::string(20, 'c')};
+        CHECK(chunks.consume(chunked.get()) == read_status::body_too_large);
+    }
+}
+
+TEST_CASE("a response is whole only when its end is certain") {
+    http_reader reader{http_kind::response, {}};
+    SECTION("with a length") {
+        const text_buffer input{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab"};
+        CHECK(reader.consume(input.get()) == read_status::incomplete);
+        CHECK(reader.finish() == read_status::malformed);
+    }
+    SECTION("without one, by the orderly end of the connection") {
+        const text_buffer input{"HTTP/1.1 200 OK\r\n\r\nabc"};
+        CHECK(reader.consume(input.get()) == read_status::incomplete);
+        REQUIRE(reader.finish() == read_status::complete);
+        CHECK(reader.message().body == "abc");
+        CHECK_FALSE(reader.message().keep_alive);
+    }
+    SECTION("to HEAD, which has no body whatever its length says") {
+        reader.reset(true);
+        const text_buffer input{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"};
+        CHECK(reader.consume(input.get()) == read_status::complete);
+    }
+    SECTION("and bytes that are no response are told apart") {
+        const text_buffer input{"\x01\x02garbage\r\n\r\n"};
+        CHECK(reader.consume(input.get()) == read_status::malformed);
+    }
+}
+
+} // namespace chervilturn::internal
--- /dev/null
+++ b/test/platform/translation_test.cpp
@@ -0,0 +1,175 @@
+// The users' wire decoded: the configuration, entries of backend servers, pages of the store, headers.
+#include "platform/translation.hpp"
+
+#include "platform/backend.hpp"
+#include "platform/callers.hpp"
+#include "platform/store_client.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace chervilturn::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string sample_config = R"({"config_version":7,
+ "routes":{"columns":["name","host","path_prefix","route_type","timeout_ms","target_latency_ms","priority",
+                      "service","max_attempts","allowed_regions","traffic_split"],
+  "rows":[["r-1","a.example","/x/","unsafe",1500,600,1,"s1",2,["dakar","kaolack"],null],
+          ["r-2","a.example","/x/y/","safe",1200,500,2,null,2,[],
+           [{"service":"s1","weight":90},{"service":"s2","weight":10}]]]},
+ "services":{"columns":["name","health_path","max_connections","protocol","tls","cold_start_s","cold_per_s"],
+  "rows":[["s1","/health",260,"h1",false,3.0,8.6],["s2","/health",260,"h1",false,3.0,8.6]]},
+ "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+std::vector<leaf> leaves_of(const translation& translated) {
+    REQUIRE(succeeded(translated));
+    std::vector<leaf> leaves;
+    for (const auto& item : value_of(translated)) {
+        leaves.push_back({.path = item.path, .revision = 1, .value = item.value});
+    }
+    return leaves;
+}
+
+model sample_model() {
+    const auto read = check_team(team_name, leaves_of(translate_config(sample_config)));
+    REQUIRE(succeeded(read));
+    model settings;
+    settings.teams.emplace(team_name, value_of(read));
+    return settings;
+}
+
+http_request sample_request(const std::string& target) {
+    return {.method = "GET",
+            .target = target,
+            .headers = {{"Host", "a.example"},
+                        {"Chervilturn-Request-Id", "9c41"},
+                        {"Chervilturn-Deadline-Ms", "800"},
+                        {"Chervilturn-Caller-Service", "forged"}},
+            .body = {}};
+}
+
+} // namespace
+
+TEST_CASE("the configuration becomes a team that the product accepts") {
+    const auto settings = sample_model();
+    const auto& owner = settings.teams.at(team_name);
+    const auto* unsafe = match_host(owner, "a.example", "/x/1");
+    REQUIRE(unsafe != nullptr);
+    CHECK_FALSE(unsafe->idempotent);
+    CHECK(unsafe->timeout == 1500ms);
+    CHECK(unsafe->home_regions == region_set{"dakar", "kaolack"});
+    const auto* split = match_host(owner, "a.example", "/x/y/1?q=1");
+    REQUIRE(split != nullptr);
+    CHECK(split->idempotent);
+    CHECK(split->split.size() == 2);
+    CHECK(split->home_regions.empty());
+    CHECK(match_host(owner, "a.example", "/z/") == nullptr);
+    CHECK(match_host(owner, "b.example", "/x/") == nullptr);
+    CHECK(owner.services.at("s1").cold_per_second == 8);
+    CHECK(owner.services.at("s1").cold_start == 3s);
+    REQUIRE(owner.limits);
+    CHECK(owner.limits->idle_timeout == 15s);
+
+    SECTION("and what cannot be read is an error, not an empty team") {
+        CHECK_FALSE(succeeded(translate_config("{\"routes\":")));
+        CHECK_FALSE(succeeded(translate_config("{\"routes\":{}}")));
+        CHECK_FALSE(succeeded(translate_config("[]")));
+    }
+}
+
+TEST_CASE("an entry of a backend server is used only when it is whole") {
+    const std::string entry =
+        R"({"address":"10.1.0.9:8080","info":{"service":"s1","zone":"dakar-a","slots":6},
+            "status":{"state":"ready","seq":4,"cold_left_ms":0}})";
+    const auto translated = translate_server("i-1", entry, 7620);
+    REQUIRE(succeeded(translated));
+    CHECK(value_of(translated)[0].path == "teams/platform/backend_servers/i-1");
+    CHECK(value_of(translated)[0].value.find("10.1.0.9:7620") != std::string::npos);
+    const std::vector<std::pair<std::string, std::string>> damages{
+        {"\"ready\"", "\"resting\""}, {"\"slots\":6", "\"slots\":\"6\""}, {"\"slots\":6", "\"slots\":0"},
+        {"10.1.0.9:8080", "nowhere"}, {"\"service\":\"s1\",", ""},        {"\"zone\":\"dakar-a\",", ""},
+        {"\"info\"", "\"other\""}};
+    for (const auto& [part, damage] : damages) {
+        CAPTURE(damage);
+        auto damaged = entry;
+        damaged.replace(damaged.find(part), part.size(), damage);
+        CHECK_FALSE(succeeded(translate_server("i-1", damaged, 7620)));
+    }
+    CHECK_FALSE(succeeded(translate_server("i-1", "\xff\x00", 7620)));
+}
+
+TEST_CASE("answers of the store are decoded or refused as a whole") {
+    const auto page = decode_page(
+        {.status = 200,
+         .headers = {},
+         .body = R"({"events":[{"key":"op/config","value":"e30=","rev":5,"created_rev":5,"lease_id":0},
+                               {"key":"servers/i-1","rev":6,"removed":true}],"at_rev":6})"});
+    REQUIRE(succeeded(page));
+    CHECK(value_of(page).revision == 6);
+    CHECK(value_of(page).items[0].value == "{}");
+    CHECK(value_of(page).items[1].removed);
+    CHECK(error_of(decode_page({.status = 410, .headers = {}, .body = {}})).failure ==
+          store_failure::history_gone);
+    CHECK(error_of(decode_page({.status = 429, .headers = {}, .body = {}})).failure ==
+          store_failure::unreachable);
+    CHECK(error_of(decode_page({.status = 200, .headers = {}, .body = "{\"items\":[]}"})).failure ==
+          store_failure::not_understood);
+    CHECK(error_of(decode_page({.status = 200,
+                                .headers = {},
+                                .body = R"({"items":[{"key":"k","rev":1,"value":"***"}],"at_rev":1})"}))
+              .failure == store_failure::not_understood);
+}
+
+TEST_CASE("a request of the users becomes a call") {
+    const auto settings = sample_model();
+    node_settings node;
+    node.service = "s9";
+    const platform_callers callers;
+    const auto read = callers.read({&settings, &node}, sample_request("/x/1"));
+    REQUIRE(succeeded(read));
+    const auto& made = value_of(read).made;
+    CHECK(made.request_id == "9c41");
+    CHECK(made.remaining == 800ms);
+    CHECK(made.origin == "s9");
+    CHECK(find_header(made.headers, "chervilturn-caller-service").empty());
+    CHECK(find_header(made.headers, "host") == "a.example");
+
+    SECTION("that waits no longer than its route allows") {
+        auto patient = sample_request("/x/1");
+        patient.headers[2].value = "60000";
+        CHECK(value_of(callers.read({&settings, &node}, std::move(patient))).made.remaining == 1500ms);
+    }
+    SECTION("unless no route fits, or no configuration is known") {
+        CHECK(error_of(callers.read({&settings, &node}, sample_request("/none/"))).status == 404);
+        const model empty;
+        CHECK(error_of(callers.read({&empty, &node}, sample_request("/x/1"))).status == 503);
+    }
+}
+
+TEST_CASE("answers of the users' backend servers") {
+    const platform_backend backend;
+    const auto kind_of = [&backend](std::uint16_t status, std::vector<header> headers) {
+        return backend.read({.status = status, .headers = std::move(headers), .body = {}}).kind;
+    };
+    const header id{"Chervilturn-Request-Id", "1"};
+    const header signature{"Chervilturn-Response-Seal", "x"};
+    CHECK(kind_of(200, {id, signature}) == response_kind::answered);
+    CHECK(kind_of(500, {id, signature}) == response_kind::answered);
+    CHECK(kind_of(200, {id}) == response_kind::spoiled);
+    CHECK(kind_of(200, {signature}) == response_kind::spoiled);
+    CHECK(kind_of(200, {id, signature, {"Content-Encoding", "gzip"}}) == response_kind::spoiled);
+    CHECK(kind_of(503, {{"Chervilturn-Not-Executed", "1"}}) == response_kind::refused);
+    CHECK(kind_of(421, {}) == response_kind::wrong_server);
+    CHECK_FALSE(
+        backend.belongs("1", {.status = 200, .headers = {{"Chervilturn-Request-Id", "2"}}, .body = {}}));
+    const auto load = read_load("3,1,8,250");
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->slowdown_percent == 250);
+    CHECK_FALSE(read_load("3,1"));
+    CHECK_FALSE(read_load("a,b,c"));
+}
+
+} // namespace chervilturn::adapter
