--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -8,8 +8,16 @@
 retry_budget::retry_budget(const retry_options& options) noexcept
     : earned_per_call{options.earned_per_call}, capacity{options.capacity}, saved{options.capacity} {}
 
-void retry_budget::set_earned_per_call(double share) noexcept {
-    this->earned_per_call = share;
+void retry_budget::configure(const retry_options& options) noexcept {
+    this->earned_per_call = options.earned_per_call;
+    this->capacity = options.capacity;
+    this->saved = std::min(this->saved, this->capacity);
+}
+
+retry_options share_of_fleet(double ratio, double slack, std::size_t nodes) noexcept {
+    constexpr double spent_part = 0.45; // leaves room for the repeats of nested calls
+    const double share = slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    return {.earned_per_call = ratio * spent_part, .capacity = std::max(1.0, share * spent_part)};
 }
 
 void retry_budget::count_first_attempt() noexcept {
--- a/src/chervilturn/call/retry.hpp
+++ b/src/chervilturn/call/retry.hpp
@@ -11,13 +11,19 @@
     double capacity = 10.0;       // extra attempts that may be saved up
 };
 
+/// @brief What one of several nodes may spend so that all together stay within bounds of the fleet.
+///
+/// A repeat's own calls count as repeats too, and come on top of those that other nodes decide on. So a node
+/// spends at most part of the ratio and of its share of the slack.
+[[nodiscard]] retry_options share_of_fleet(double ratio, double slack, std::size_t nodes) noexcept;
+
 /// @brief Bounds extra attempts of one workspace as a share of its first attempts.
 class retry_budget {
   public:
     explicit retry_budget(const retry_options& options) noexcept;
 
-    /// @brief Changes the share; attempts saved up stay, within the capacity.
-    void set_earned_per_call(double share) noexcept;
+    /// @brief Changes the bounds; attempts saved up stay, within the capacity.
+    void configure(const retry_options& options) noexcept;
 
     void count_first_attempt() noexcept;
 
--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -42,6 +42,13 @@
     return probes;
 }
 
+[[nodiscard]] repeat_bounds read_repeats(object_reader& reader) {
+    repeat_bounds bounds;
+    bounds.ratio = reader.number_or("ratio", {0.0, 1.0}, bounds.ratio);
+    bounds.slack = reader.number_or("slack", {0.0, 1e6}, bounds.slack);
+    return bounds;
+}
+
 [[nodiscard]] reading_options read_reading(object_reader& reader) {
     reading_options reading;
     reading.wait = reader.milliseconds_or("wait_ms", {0, 30'000}, reading.wait);
@@ -118,6 +125,7 @@
     settings.seed = static_cast<std::uint64_t>(reader.integer_or("seed", {0, INT64_MAX}, 0));
     read_section(reader, "limits", settings.limits, read_limits);
     read_section(reader, "probes", settings.probes, read_probes);
+    read_section(reader, "repeats", settings.repeats, read_repeats);
     read_section(reader, "reading", settings.reading, read_reading);
     settings.service = reader.text_or("service", "");
     settings.data_centres = read_data_centres(reader);
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -33,6 +33,12 @@
     microseconds timeout = std::chrono::milliseconds{500};
 };
 
+/// @brief Bounds of the whole fleet on repeats: runs of a call beyond its first, by target service.
+struct repeat_bounds {
+    double ratio = 0.0; // of first attempts; 0: bounds of the workspace hold instead
+    double slack = 0.0; // repeats allowed besides, over all nodes
+};
+
 /// @brief How the platform is read by the nodes that read it.
 struct reading_options {
     microseconds wait = std::chrono::seconds{20};       // for a change, in one call
@@ -58,6 +64,7 @@
     node_limits limits;
     probe_limits probes;
     reading_options reading;
+    repeat_bounds repeats;
     std::string service;                             // of the backend server; empty when not told
     std::map<std::string, std::string> data_centres; // region of each, as far as told at the start
 };
--- a/src/chervilturn/config/object_reader.cpp
+++ b/src/chervilturn/config/object_reader.cpp
@@ -91,6 +91,20 @@
     return value == nullptr ? fallback : this->integer(key, range);
 }
 
+double object_reader::number_or(const char* key, number_range range, double fallback) {
+    const auto expected =
+        "a number from " + std::to_string(range.low) + " to " + std::to_string(range.high);
+    const auto* value = this->member(key, false, expected.c_str());
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number() || value->get<double>() < range.low || value->get<double>() > range.high) {
+        this->fail(key, value, expected);
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 bool object_reader::boolean_or(const char* key, bool fallback) {
     const auto* value = this->member(key, false, "");
     if (value == nullptr) {
--- a/src/chervilturn/config/object_reader.hpp
+++ b/src/chervilturn/config/object_reader.hpp
@@ -32,6 +32,12 @@
     std::int64_t high;
 };
 
+/// @brief Limits of a number member, both included.
+struct number_range {
+    double low;
+    double high;
+};
+
 /// @brief Reads members of one object; remembers the first fault and yields defaults after it.
 class object_reader {
   public:
@@ -44,6 +50,7 @@
                                         std::string fallback);
     [[nodiscard]] std::int64_t integer(const char* key, integer_range range);
     [[nodiscard]] std::int64_t integer_or(const char* key, integer_range range, std::int64_t fallback);
+    [[nodiscard]] double number_or(const char* key, number_range range, double fallback);
     [[nodiscard]] bool boolean_or(const char* key, bool fallback);
     [[nodiscard]] address address_at(const char* key);
     [[nodiscard]] address address_or(const char* key, const address& fallback);
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -359,9 +359,14 @@
 }
 
 retry_budget& entry_task::budget_of(const call& made, std::uint32_t retry_percent) {
-    auto& budget = this->budgets.try_emplace(made.team + '/' + made.workspace, retry_budget{retry_options{}})
-                       .first->second;
-    budget.set_earned_per_call(retry_percent / percent);
+    const auto& bounds = this->context->settings.repeats;
+    const bool by_fleet = bounds.ratio > 0.0;
+    const auto options = by_fleet
+                             ? share_of_fleet(bounds.ratio, bounds.slack, this->settings->hosts.size())
+                             : retry_options{.earned_per_call = retry_percent / percent};
+    const auto name = made.team + '/' + (by_fleet ? made.service : made.workspace);
+    auto& budget = this->budgets.try_emplace(name, retry_budget{options}).first->second;
+    budget.configure(options);
     return budget;
 }
 
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -77,7 +77,7 @@
     std::unique_ptr<policy> selection;
     random_source random;
     std::map<address, load_view> views;          // by the owner's peer address
-    std::map<std::string, retry_budget> budgets; // by "team/workspace"
+    std::map<std::string, retry_budget> budgets; // by "team/workspace", or "team/service"
     std::list<open_call> calls;
     std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts; // in progress
     std::uint64_t sequence = 0;
--- a/test/chervilturn/call/retry_test.cpp
+++ b/test/chervilturn/call/retry_test.cpp
@@ -82,4 +82,55 @@
     CHECK(attempts_at_depth(7, default_extra_attempts) == 4);
 }
 
+TEST_CASE("all nodes together stay within the fleet's bounds on repeats") {
+    // A repeat of the outer service makes the same calls again, which count for the inner one.
+    const std::size_t nodes = 24;
+    const double ratio = 0.2;
+    const double slack = 62.0;
+    const double first_attempts = 1200.0; // in the window, of each service
+    std::vector<retry_budget> outer(nodes, retry_budget{share_of_fleet(ratio, slack, nodes)});
+    std::vector<retry_budget> inner(nodes, retry_budget{share_of_fleet(ratio, slack, nodes)});
+    double repeats = 0.0;
+    for (std::size_t call = 0; call < static_cast<std::size_t>(first_attempts); ++call) {
+        const auto at = call % nodes;
+        outer[at].count_first_attempt();
+        inner[at].count_first_attempt();
+        while (outer[at].take()) {
+            ++repeats;
+        }
+        while (inner[at].take()) {
+            ++repeats;
+        }
+    }
+    CHECK(repeats > 0.5 * ratio * first_attempts);
+    CHECK(repeats <= ratio * first_attempts + slack);
+}
+
+TEST_CASE("an owner's refusal costs a call nothing but a move") {
+    retry_budget empty{{.earned_per_call = 0.0, .capacity = 0.0}};
+    call_plan plan{false, 0, 2};
+    const auto refused = ended(outcome::not_run, reason::queue_full);
+    CHECK(plan.decide(refused, 1s, empty) == next_step::try_again);
+    CHECK(plan.decide(refused, 1s, empty) == next_step::try_again);
+    CHECK(plan.decide(refused, 1s, empty) == next_step::answer_caller);
+
+    SECTION("but one by the backend server itself is a repeat") {
+        call_plan fresh{false, 2, 2};
+        CHECK(fresh.decide(ended(outcome::not_run, reason::backend_shed), 1s, empty) ==
+              next_step::answer_caller);
+    }
+}
+
+TEST_CASE("an idempotent call that a backend server failed may go to another one") {
+    retry_budget budget{{}};
+    auto failed = ended(outcome::completed, reason::none);
+    failed.status = 500;
+    call_plan idempotent{true, 2};
+    call_plan once{false, 2};
+    CHECK(idempotent.decide(failed, 1s, budget) == next_step::try_again);
+    CHECK(once.decide(failed, 1s, budget) == next_step::answer_caller);
+    failed.status = 404;
+    CHECK(idempotent.decide(failed, 1s, budget) == next_step::answer_caller);
+}
+
 } // namespace chervilturn
