Choose by expected time; refuse at the door what would be late

Change: policy expected_time (way, wait, pace of the host and of the server, failures, a price for distance); the owner, who knows its host's pace, refuses a call that would be late there while others may take it; calls that are late anyway leave its queue last; an entry asks a refusing owner again as a last resort. A refusal for want of time is no longer final. The history of a call names servers, since indices shift with settings.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -61,6 +61,8 @@
   requestId @16 :Text;
   origin @17 :Text;
   lastResort @18 :Bool;
+  untilLateMicros @19 :UInt64;
+  usualServiceMicros @20 :UInt64;
 }
 
 struct Load {
--- a/src/chervilturn/admission/door.cpp
+++ b/src/chervilturn/admission/door.cpp
@@ -5,6 +5,13 @@
 
 namespace chervilturn {
 
+namespace {
+
+constexpr std::uint32_t usual_percent = 100;
+constexpr microseconds slowdown_validity = std::chrono::milliseconds{400}; // hosts change pace that often
+
+} // namespace
+
 door::door(const door_options& given, instant now)
     : options{given}, limit{given.warm_up}, cold_rate{given.cold, now} {}
 
@@ -25,6 +32,9 @@
     if (this->limit.state() == backend_state::unreachable) {
         return refused{reason::backend_unreachable};
     }
+    if (!entry.last_resort && this->would_be_late(entry, now)) {
+        return refused{reason::would_be_late, this->expected_wait(now)};
+    }
     if (this->waiting.size() == 0 && this->has_free_slot() && this->cold_rate.take(now)) {
         this->in_use.emplace(entry.attempt, std::nullopt);
         return dispatched{};
@@ -83,7 +93,7 @@
         }
     }
     while (this->has_free_slot() && this->waiting.size() > 0 && this->cold_rate.take(now)) {
-        const auto next = this->waiting.pop();
+        const auto next = this->waiting.pop(now);
         if (!next) {
             break;
         }
@@ -104,6 +114,18 @@
     return this->in_use.size() < this->limit.limit();
 }
 
+// Whether another backend server is the better choice, since this one is slow or full at present.
+bool door::would_be_late(const queue_entry& entry, instant now) const noexcept {
+    if (entry.late_from == instant::max() || now >= entry.late_from) {
+        return false; // late everywhere, or no limit is known
+    }
+    const bool fresh = now - this->slowdown_at <= slowdown_validity;
+    const auto percent = fresh ? std::max(usual_percent, this->slowdown_percent) : usual_percent;
+    const auto extra_service = entry.usual_service * (percent - usual_percent) / usual_percent;
+    const auto queue_wait = this->has_free_slot() ? microseconds::zero() : this->expected_wait(now);
+    return now + extra_service + queue_wait >= entry.late_from;
+}
+
 microseconds door::expected_wait(instant now) const noexcept {
     const auto slots = static_cast<std::int64_t>(std::max(1U, this->limit.limit()));
     const auto ahead = static_cast<std::int64_t>(this->waiting.size());
--- a/src/chervilturn/admission/door.hpp
+++ b/src/chervilturn/admission/door.hpp
@@ -71,7 +71,10 @@
     [[nodiscard]] std::vector<queue_entry> clear_queue() { return this->waiting.clear(); }
 
     /// @brief The backend server says how long work takes on its host at present; 100 is usual.
-    void learn_slowdown(std::uint32_t percent) noexcept { this->slowdown_percent = percent; }
+    void learn_slowdown(std::uint32_t percent, instant now) noexcept {
+        this->slowdown_percent = percent;
+        this->slowdown_at = now;
+    }
 
     [[nodiscard]] cold_limit& cold() noexcept { return this->cold_rate; }
 
@@ -82,6 +85,7 @@
 
   private:
     [[nodiscard]] admission displace_for(const queue_entry& entry);
+    [[nodiscard]] bool would_be_late(const queue_entry& entry, instant now) const noexcept;
     [[nodiscard]] bool has_free_slot() const noexcept;
     [[nodiscard]] microseconds expected_wait(instant now) const noexcept;
     void free_abandoned(instant now);
@@ -90,6 +94,7 @@
     warm_up_limit limit;
     cold_limit cold_rate;
     std::uint32_t slowdown_percent = 100; // as the backend server last told
+    instant slowdown_at{};
     fair_queue waiting;
     // Dispatched calls. Each holds a slot until it is completed, released, or its grace has passed.
     std::unordered_map<attempt_id, std::optional<instant>, attempt_id_hash> in_use;
--- a/src/chervilturn/admission/fair_queue.cpp
+++ b/src/chervilturn/admission/fair_queue.cpp
@@ -51,12 +51,16 @@
     ++this->count;
 }
 
-std::optional<queue_entry> fair_queue::pop() {
+std::optional<queue_entry> fair_queue::pop(instant now) {
     if (this->count == 0) {
         return std::nullopt;
     }
+    this->set_late_apart(now);
     --this->count;
     const bool normal_waits = !this->normal.lanes.empty();
+    if (!normal_waits && this->urgent.lanes.empty()) {
+        return this->late.pop();
+    }
     const bool urgent_turn = !normal_waits || this->urgent_in_a_row < max_urgent_in_a_row;
     if (!this->urgent.lanes.empty() && urgent_turn) {
         ++this->urgent_in_a_row;
@@ -66,8 +70,16 @@
     return this->normal.pop();
 }
 
+void fair_queue::set_late_apart(instant now) {
+    const auto is_late = [](const queue_entry& entry, instant when) { return entry.late_from <= when; };
+    for (auto& entry : this->take_if(is_late, now)) {
+        this->late.push(entry);
+        ++this->count;
+    }
+}
+
 bool fair_queue::remove(const attempt_id& attempt) {
-    for (auto* queue : {&this->urgent, &this->normal}) {
+    for (auto* queue : {&this->urgent, &this->normal, &this->late}) {
         for (auto& [workspace, waiting] : queue->lanes) {
             const auto found =
                 std::find_if(waiting.entries.begin(), waiting.entries.end(),
@@ -100,7 +112,7 @@
 
 std::size_t fair_queue::size_of(const std::string& workspace) const {
     std::size_t total = 0;
-    for (const auto* queue : {&this->urgent, &this->normal}) {
+    for (const auto* queue : {&this->urgent, &this->normal, &this->late}) {
         const auto found = queue->lanes.find(workspace);
         total += found == queue->lanes.end() ? 0 : found->second.entries.size();
     }
@@ -113,7 +125,7 @@
 
 queue_share fair_queue::largest_share() const {
     queue_share largest;
-    for (const auto* queue : {&this->urgent, &this->normal}) {
+    for (const auto* queue : {&this->urgent, &this->normal, &this->late}) {
         for (const auto& [workspace, waiting] : queue->lanes) {
             const double share = this->share_of(workspace, waiting.entries.front().weight);
             if (share > largest.calls_per_weight) {
@@ -125,7 +137,7 @@
 }
 
 std::optional<queue_entry> fair_queue::drop_newest(const std::string& workspace) {
-    for (auto* queue : {&this->normal, &this->urgent}) {
+    for (auto* queue : {&this->late, &this->normal, &this->urgent}) {
         const auto found = queue->lanes.find(workspace);
         if (found == queue->lanes.end()) {
             continue;
@@ -143,7 +155,7 @@
 
 std::vector<queue_entry> fair_queue::take_if(bool (*wanted)(const queue_entry&, instant), instant now) {
     std::vector<queue_entry> taken;
-    for (auto* queue : {&this->urgent, &this->normal}) {
+    for (auto* queue : {&this->urgent, &this->normal, &this->late}) {
         std::vector<std::string> emptied;
         for (auto& [workspace, waiting] : queue->lanes) {
             std::deque<queue_entry> kept;
--- a/src/chervilturn/admission/fair_queue.hpp
+++ b/src/chervilturn/admission/fair_queue.hpp
@@ -21,6 +21,8 @@
     bool urgent = false;
     bool last_resort = false; // has nowhere else to go
     instant deadline{};
+    instant late_from = instant::max(); // started from then on, the answer comes too late for its full value
+    microseconds usual_service{};       // zero when not known
 };
 
 /// @brief A workspace's part of a queue.
@@ -35,7 +37,8 @@
     void push(const queue_entry& entry);
 
     /// @brief Takes the next call: urgent ones first, but no more than four in a row while others wait.
-    [[nodiscard]] std::optional<queue_entry> pop();
+    /// Calls that are late anyway leave when no other call waits.
+    [[nodiscard]] std::optional<queue_entry> pop(instant now);
 
     /// @brief Takes a call out; false when it does not wait here.
     bool remove(const attempt_id& attempt);
@@ -79,10 +82,13 @@
 
     [[nodiscard]] std::size_t size_of(const std::string& workspace) const;
 
+    void set_late_apart(instant now);
+
     class_queue urgent;
     class_queue normal;
+    class_queue late; // of both classes
     std::uint32_t urgent_in_a_row = 0;
-    std::size_t count = 0; // over both classes
+    std::size_t count = 0; // over all classes
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -97,7 +97,6 @@
     case reason::key_record_full:
     case reason::key_expired:
     case reason::cancelled:
-    case reason::deadline_too_near:
     case reason::bad_request:
         return true;
     default:
--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -97,7 +97,7 @@
 
 const std::vector<std::string>& policy_names() {
     static const std::vector<std::string> names{"uniform_random", "round_robin", "least_outstanding",
-                                                "two_choices", "load_aware"};
+                                                "two_choices", "load_aware", "expected_time"};
     return names;
 }
 
--- a/src/chervilturn/node/backend_caller.cpp
+++ b/src/chervilturn/node/backend_caller.cpp
@@ -42,7 +42,7 @@
                                  http_response&& response) {
     const auto read = this->context->protocols.backend->read(response);
     if (read.load) {
-        this->gate->learn_slowdown(read.load->slowdown_percent);
+        this->gate->learn_slowdown(read.load->slowdown_percent, now_monotonic());
     }
     switch (read.kind) {
     case response_kind::refused:
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr double percent = 100.0;
+constexpr double falling_weight = 0.1; // of a shorter answer in a route's usual service time
+constexpr double rising_weight = 0.05; // of a longer one
 constexpr std::uint16_t status_misdirected = 421;
 constexpr std::uint16_t status_unavailable = 503;
 
@@ -47,6 +49,12 @@
                        [](const auto& named) { return !named.second.services.empty(); });
 }
 
+bool entry_task::has_route(const std::string& name) const {
+    const auto& teams = this->settings->teams;
+    return std::any_of(teams.begin(), teams.end(),
+                       [&name](const auto& named) { return named.second.routes.contains(name); });
+}
+
 void entry_task::handle(const settings_changed& message) {
     this->settings = message.settings;
     this->configure_server();
@@ -61,6 +69,7 @@
         }
     }
     this->views = std::move(kept);
+    std::erase_if(this->usual_micros, [this](const auto& known) { return !this->has_route(known.first); });
 }
 
 void entry_task::handle(const attempt_ended& message) {
@@ -107,6 +116,7 @@
               {"limit", message.ended.load.limit},
               {"slowdown_percent", message.ended.load.slowdown_percent},
               {"next", to_string(opened->plan.cause())}});
+    this->learn_service(*opened, message.ended, now);
     if (next == next_step::try_again) {
         this->try_next(opened);
         return;
@@ -114,6 +124,39 @@
     this->close(opened, opened->last);
 }
 
+// The usual service time leans to the shorter answers, so that slow hosts and spells stay visible against it.
+void entry_task::learn_service(open_call& opened, const answer& ended, instant now) {
+    if (ended.result == outcome::not_run) {
+        const bool for_now = ended.why == reason::would_be_late || ended.why == reason::queue_full ||
+                             ended.why == reason::deadline_too_near || ended.why == reason::backend_slow;
+        if (for_now && this->selection->reconsiders_refusals() && !opened.request.made.last_resort &&
+            !opened.history.tried.empty()) {
+            opened.history.refused.push_back(opened.history.tried.back());
+            opened.history.tried.pop_back();
+        }
+        return;
+    }
+    if (ended.result != outcome::completed || is_backend_failure(ended)) {
+        return;
+    }
+    const double host = std::max(1.0, ended.load.slowdown_percent / percent);
+    const double micros = static_cast<double>(ended.service_time.count()) / host;
+    auto& usual = this->usual_micros[opened.request.made.route];
+    const double weight = micros < usual ? falling_weight : rising_weight;
+    usual = usual == 0.0 ? micros : usual + weight * (micros - usual);
+    const auto view = this->views.find(opened.owner);
+    if (view != this->views.end()) {
+        view->second.learn_pace(ended.service_time, this->usual_service(opened.request.made.route),
+                                ended.load.slowdown_percent, now);
+    }
+}
+
+microseconds entry_task::usual_service(const std::string& route) const {
+    const auto found = this->usual_micros.find(route);
+    return found == this->usual_micros.end() ? microseconds::zero()
+                                             : microseconds{static_cast<std::int64_t>(found->second)};
+}
+
 void entry_task::handle(const shutdown_started&) {
     this->shutting_down = true;
     this->server->close_after_responses();
@@ -205,13 +248,16 @@
     const call_plan plan{request.made.idempotent || request.made.key.given(), request.extra_attempts,
                          this->context->settings.limits.max_moves};
     const auto deadline = now + request.made.remaining;
+    const auto late_at =
+        request.target_latency > microseconds::zero() ? now + request.target_latency : deadline;
     this->budget_of(request.made, request.retry_percent).count_first_attempt();
     this->calls.push_back(open_call{.exchange = std::move(exchange),
                                     .request = std::move(request),
                                     .plan = plan,
                                     .started = now,
                                     .deadline = deadline,
-                                    .tried = {},
+                                    .late_at = late_at,
+                                    .history = {},
                                     .attempt = {},
                                     .owner = {},
                                     .last = {},
@@ -249,15 +295,22 @@
 const backend_server* entry_task::choose(open_call& opened, const team& owner, const service& target) {
     const auto now = now_monotonic();
     const auto candidates = eligible_candidates(
-        this->eligibility_of(owner, target, opened.request.regions), opened.tried,
+        this->eligibility_of(owner, target, opened.request.regions), opened.history,
         [this](const backend_server& backend) -> const load_view& { return this->view_of(backend); }, now);
     if (candidates.empty()) {
         return nullptr;
     }
-    opened.request.made.last_resort = candidates.size() == 1;
-    const auto picked = candidates[this->selection->pick(candidates, this->random, now)].index;
-    opened.tried.push_back(picked);
-    return &target.backend_servers[picked];
+    auto& made = opened.request.made;
+    const auto usual = this->usual_service(made.route);
+    const call_estimate estimate{.service = usual,
+                                 .until_late = std::max(microseconds::zero(), elapsed(now, opened.late_at))};
+    const auto& picked = candidates[this->selection->pick(candidates, estimate, this->random, now)];
+    made.last_resort = candidates.size() == 1 || picked.refused_before;
+    made.usual_service = usual;
+    const auto& server = target.backend_servers[picked.index];
+    opened.history.tried.push_back(server.name);
+    std::erase(opened.history.refused, server.name);
+    return &server;
 }
 
 const backend_server* entry_task::choose_key_home(const open_call& opened, const team& owner,
@@ -277,6 +330,7 @@
     auto attempt = opened->request.made;
     attempt.attempt = {.entry = this->context->incarnation, .sequence = ++this->sequence};
     attempt.remaining = elapsed(now, opened->deadline);
+    attempt.until_late = std::max(microseconds::zero(), elapsed(now, opened->late_at));
     attempt.extra_attempts = opened->plan.extra_for_nested();
     opened->plan.count_attempt();
     opened->attempt = attempt.attempt;
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -33,7 +33,8 @@
         call_plan plan;
         instant started;
         instant deadline;
-        std::vector<std::size_t> tried; // backend servers by index in the service
+        instant late_at;      // from then on an answer has lost its full value
+        call_history history; // of the service that the call goes to
         attempt_id attempt;             // the one in progress
         address owner;                  // of the attempt in progress
         instant sent_at{};
@@ -52,6 +53,9 @@
     void handle(const explain_request& request);
 
     void configure_server();
+    void learn_service(open_call& opened, const answer& ended, instant now);
+    [[nodiscard]] microseconds usual_service(const std::string& route) const;
+    [[nodiscard]] bool has_route(const std::string& name) const;
     void on_request(std::shared_ptr<http_exchange> exchange);
     void open(std::shared_ptr<http_exchange> exchange, accepted_request&& request);
     void try_next(call_iterator opened);
@@ -78,6 +82,7 @@
     random_source random;
     std::map<address, load_view> views;          // by the owner's peer address
     std::map<std::string, retry_budget> budgets; // by "team/workspace", or "team/service"
+    std::map<std::string, double> usual_micros; // service time by route
     std::list<open_call> calls;
     std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts; // in progress
     std::uint64_t sequence = 0;
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -286,7 +286,11 @@
                              .weight = customer == here.owner->workspaces.end() ? 1 : customer->second.weight,
                              .urgent = received.urgent,
                              .last_resort = received.last_resort,
-                             .deadline = owner_deadline(now, received.remaining)};
+                             .deadline = owner_deadline(now, received.remaining),
+                             .late_from = received.until_late > microseconds::zero()
+                                              ? now + received.until_late - received.usual_service
+                                              : instant::max(),
+                             .usual_service = received.usual_service};
     const auto admitted = this->gate.admit(wanted, now);
     this->log_admission(received, admitted);
     if (const auto* refusal = std::get_if<refused>(&admitted)) {
@@ -384,7 +388,7 @@
         this->gate.cold().on_told(*report.cold_left, now);
     }
     if (report.load) {
-        this->gate.learn_slowdown(report.load->slowdown_percent);
+        this->gate.learn_slowdown(report.load->slowdown_percent, now);
     }
 }
 
--- a/src/chervilturn/selection/eligibility.cpp
+++ b/src/chervilturn/selection/eligibility.cpp
@@ -49,8 +49,11 @@
 }
 
 std::vector<candidate> eligible_candidates(const eligibility_request& request,
-                                           const std::vector<std::size_t>& tried, const view_lookup& view_of,
+                                           const call_history& history, const view_lookup& view_of,
                                            instant now) {
+    const auto listed = [](const std::vector<std::string>& list, const std::string& name) {
+        return std::find(list.begin(), list.end(), name) != list.end();
+    };
     std::vector<candidate> allowed;
     std::vector<candidate> preferred;
     const auto& servers = request.target->backend_servers;
@@ -59,10 +62,10 @@
             continue;
         }
         const auto& view = view_of(servers[index]);
-        const candidate found{index, distance_to(request, servers[index]), &view};
+        const bool refused = listed(history.refused, servers[index].name);
+        const candidate found{index, distance_to(request, servers[index]), &view, refused};
         allowed.push_back(found);
-        const bool was_tried = std::find(tried.begin(), tried.end(), index) != tried.end();
-        if (!was_tried && !view.in_penalty(now)) {
+        if (!listed(history.tried, servers[index].name) && (refused || !view.in_penalty(now))) {
             preferred.push_back(found);
         }
     }
--- a/src/chervilturn/selection/eligibility.hpp
+++ b/src/chervilturn/selection/eligibility.hpp
@@ -30,10 +30,16 @@
 /// @brief Finds the view of a backend server by its owner's address.
 using view_lookup = std::function<const load_view&(const backend_server&)>;
 
+/// @brief Names of the backend servers that a call was at already.
+struct call_history {
+    std::vector<std::string> tried;   // not to be chosen again while others remain
+    std::vector<std::string> refused; // refused it for want of room or speed, and may be asked again
+};
+
 /// @brief Collects eligible candidates. Servers in tried are left out unless nothing else remains;
 /// servers in penalty likewise, so that a bad spell never condemns every server.
 [[nodiscard]] std::vector<candidate> eligible_candidates(const eligibility_request& request,
-                                                         const std::vector<std::size_t>& tried,
+                                                         const call_history& history,
                                                          const view_lookup& view_of, instant now);
 
 } // namespace chervilturn
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -11,6 +11,14 @@
 constexpr double report_half_life_seconds = 0.05; // of other entries' calls in a report
 constexpr double latency_half_life_seconds = 1.0; // of a slow spell
 constexpr double sample_weight = 0.2;
+constexpr double percent = 100.0;
+constexpr double slowdown_half_life_seconds = 0.15; // hosts change their pace several times a second
+constexpr double usual_pace = 1.3;                  // of a host that nothing is known of
+constexpr double pace_half_life_seconds = 1.5;      // of a server's own slow spell
+constexpr double slowest_pace = 10.0;
+constexpr double way_rising_weight = 0.01;
+constexpr double failure_half_life_seconds = 2.0;
+constexpr double failure_weight = 0.25; // of one call in the share
 constexpr microseconds busy_penalty = std::chrono::milliseconds{20};
 constexpr microseconds closed_penalty = std::chrono::seconds{1};
 constexpr microseconds silence_penalty = std::chrono::milliseconds{500};
@@ -42,6 +50,15 @@
 
 } // namespace
 
+namespace {
+
+[[nodiscard]] bool is_server_error(const answer& ended) noexcept {
+    constexpr std::uint16_t first_server_error = 500;
+    return ended.status >= first_server_error;
+}
+
+} // namespace
+
 load_view::load_view(std::uint32_t configured_slots) noexcept : slots{configured_slots} {
     this->report.limit = configured_slots;
 }
@@ -56,6 +73,13 @@
     this->own_at_report = this->own;
     this->reported_at = now;
     this->silences = 0;
+    this->learn_way(sample - ended.service_time);
+    const bool shed = ended.why == reason::backend_shed;
+    const bool ran = ended.result != outcome::not_run;
+    if (ran || shed) {
+        const bool failed = shed || ended.result == outcome::unknown || is_server_error(ended);
+        this->learn_failure(failed, now);
+    }
     if (ended.result == outcome::completed) {
         this->learn_latency(sample, now);
         return;
@@ -95,6 +119,47 @@
     return microseconds{static_cast<std::int64_t>(aged)};
 }
 
+double load_view::pace(instant now) const noexcept {
+    const double told = static_cast<double>(this->report.slowdown_percent) / percent;
+    const double fresh = decay(slowdown_half_life_seconds, this->reported_at, now);
+    const double host = usual_pace + (told - usual_pace) * fresh;
+    const double own = 1.0 + (this->own_pace - 1.0) * decay(pace_half_life_seconds, this->own_pace_at, now);
+    return std::max(1.0, host) * own;
+}
+
+double load_view::failure_share(instant now) const noexcept {
+    return this->failures * decay(failure_half_life_seconds, this->failures_at, now);
+}
+
+void load_view::learn_pace(microseconds service_time, microseconds usual, std::uint32_t slowdown_percent,
+                           instant now) noexcept {
+    if (usual <= microseconds::zero() || service_time <= microseconds::zero()) {
+        return;
+    }
+    const double host = std::max(1.0, static_cast<double>(slowdown_percent) / percent);
+    const double seen = static_cast<double>(service_time.count()) / static_cast<double>(usual.count()) / host;
+    const double held =
+        1.0 + (this->own_pace - 1.0) * decay(pace_half_life_seconds, this->own_pace_at, now);
+    this->own_pace = std::clamp(held + sample_weight * (seen - held), 1.0, slowest_pace);
+    this->own_pace_at = now;
+}
+
+// Falls to the shortest way seen and rises slowly, since the time in the owner's queue is part of a sample.
+void load_view::learn_way(microseconds sample) noexcept {
+    const auto micros = std::max(1.0, static_cast<double>(sample.count()));
+    if (this->way_micros == 0.0 || micros < this->way_micros) {
+        this->way_micros = micros;
+    } else {
+        this->way_micros += way_rising_weight * (micros - this->way_micros);
+    }
+}
+
+void load_view::learn_failure(bool failed, instant now) noexcept {
+    const double held = this->failure_share(now);
+    this->failures = held + failure_weight * ((failed ? 1.0 : 0.0) - held);
+    this->failures_at = now;
+}
+
 void load_view::learn_latency(microseconds sample, instant now) noexcept {
     const auto micros = static_cast<double>(sample.count());
     const auto held = static_cast<double>(this->latency(now).count());
--- a/src/chervilturn/selection/load_view.hpp
+++ b/src/chervilturn/selection/load_view.hpp
@@ -44,12 +44,30 @@
     /// @brief Smoothed latency; it forgets a slow spell with time, so that the server is tried again.
     [[nodiscard]] microseconds latency(instant now) const noexcept;
 
+    /// @brief How many times longer than usual work is expected to take: the host's last known pace, which
+    /// is forgotten quickly, and the server's own over its recent answers.
+    [[nodiscard]] double pace(instant now) const noexcept;
+
+    /// @brief The way there and back; a usual figure before the first measurement.
+    [[nodiscard]] double round_trip_micros(double usual) const noexcept {
+        return this->way_micros > 0.0 ? this->way_micros : usual;
+    }
+
+    /// @brief Share of the latest calls that the backend server failed or shed.
+    [[nodiscard]] double failure_share(instant now) const noexcept;
+
+    /// @brief Learns from an answer of a call whose usual service time is known.
+    void learn_pace(microseconds service_time, microseconds usual, std::uint32_t slowdown_percent,
+                    instant now) noexcept;
+
     /// @brief Whether the server recently refused or fell silent and should be passed over for a moment.
     [[nodiscard]] bool in_penalty(instant now) const noexcept { return now < this->penalty_until; }
 
   private:
     void count_end() noexcept;
     void learn_latency(microseconds sample, instant now) noexcept;
+    void learn_way(microseconds sample) noexcept;
+    void learn_failure(bool failed, instant now) noexcept;
 
     std::uint32_t slots;
     std::uint32_t own = 0;
@@ -58,6 +76,11 @@
     instant reported_at{};
     double latency_micros = 0.0; // smoothed; 0 before the first answer
     instant latency_at{};
+    double way_micros = 0.0;   // round trip without service; 0 before the first measurement
+    double own_pace = 1.0;     // of the server, apart from its host's pace; at least 1
+    instant own_pace_at{};
+    double failures = 0.0;     // smoothed share
+    instant failures_at{};
     instant penalty_until{};
     std::uint32_t silences = 0; // in a row
 };
--- a/src/chervilturn/selection/policy.cpp
+++ b/src/chervilturn/selection/policy.cpp
@@ -2,6 +2,7 @@
 #include "chervilturn/selection/policy.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <optional>
 #include <vector>
@@ -13,6 +14,31 @@
 constexpr std::size_t load_aware_choices = 3;
 constexpr double ordinary_spread = 3.0; // of latencies among healthy backend servers
 
+constexpr double selection_jitter = 0.05; // share of the expected time
+constexpr double unknown_service_micros = 50'000.0; // before the first answer on a route
+constexpr double utilisation_weight = 0.3; // of a full backend server, as a share of the service time
+constexpr double failure_weight = 1.0;     // of a certain failure, as a share of the time until late
+// Price of the bytes on the way, as a share of the time until late.
+constexpr std::array<double, 3> distance_price{0.0, 0.02, 0.2};
+// One round trip, before one was measured.
+constexpr std::array<double, 3> usual_round_trip_micros{500.0, 4'000.0, 62'000.0};
+
+[[nodiscard]] double expected_micros(const candidate& rated, const call_estimate& made, instant now) {
+    const auto& view = *rated.view;
+    const auto away = static_cast<std::size_t>(rated.away);
+    const double usual = made.service > microseconds::zero() ? static_cast<double>(made.service.count())
+                                                             : unknown_service_micros;
+    const double late = made.until_late > microseconds::zero() ? static_cast<double>(made.until_late.count())
+                                                               : usual;
+    const double service = usual * view.pace(now);
+    const double load = view.estimated_calls(now) + 1.0;
+    const double limit = view.limit(now);
+    const double wait = std::max(0.0, load - limit) / limit * service;
+    const double crowding = utilisation_weight * service * std::min(1.0, load / limit);
+    return view.round_trip_micros(usual_round_trip_micros.at(away)) + service + wait + crowding +
+           distance_price.at(away) * late + failure_weight * view.failure_share(now) * late;
+}
+
 struct score {
     double cost; // load on the backend server times its slowness
     bool free_slot;
@@ -63,15 +89,15 @@
 
 } // namespace
 
-std::size_t uniform_random::pick(std::span<const candidate> candidates, random_source& random, instant) {
+std::size_t uniform_random::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
     return random.index(candidates.size());
 }
 
-std::size_t round_robin::pick(std::span<const candidate> candidates, random_source&, instant) {
+std::size_t round_robin::pick(std::span<const candidate> candidates, const call_estimate&, random_source&, instant) {
     return this->turn++ % candidates.size();
 }
 
-std::size_t least_outstanding::pick(std::span<const candidate> candidates, random_source& random, instant) {
+std::size_t least_outstanding::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
     std::size_t best = random.index(candidates.size());
     for (std::size_t position = 0; position < candidates.size(); ++position) {
         if (candidates[position].view->outstanding() < candidates[best].view->outstanding()) {
@@ -81,13 +107,13 @@
     return best;
 }
 
-std::size_t two_choices::pick(std::span<const candidate> candidates, random_source& random, instant) {
+std::size_t two_choices::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
     const auto first = random.index(candidates.size());
     const auto second = random.index(candidates.size());
     return candidates[second].view->reported() < candidates[first].view->reported() ? second : first;
 }
 
-std::size_t load_aware::pick(std::span<const candidate> candidates, random_source& random, instant now) {
+std::size_t load_aware::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant now) {
     std::vector<std::size_t> positions;
     for (const auto away : {distance::same_data_centre, distance::same_region, distance::other_region}) {
         positions.clear();
@@ -106,6 +132,22 @@
     return best_of_sample(candidates, positions, random, now);
 }
 
+std::size_t expected_time::pick(std::span<const candidate> candidates, const call_estimate& made,
+                                random_source& random, instant now) {
+    std::size_t best = 0;
+    double best_micros = std::numeric_limits<double>::max();
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        // A little chance, so that entries with the same reports do not all choose the same.
+        const double chance = random.uniform(1.0, 1.0 + selection_jitter);
+        const double micros = expected_micros(candidates[position], made, now) * chance;
+        if (micros < best_micros) {
+            best = position;
+            best_micros = micros;
+        }
+    }
+    return best;
+}
+
 const split_part& pick_split_part(std::span<const split_part> parts, random_source& random) {
     double total = 0.0;
     for (const auto& part : parts) {
@@ -134,6 +176,9 @@
     if (name == "two_choices") {
         return std::make_unique<two_choices>();
     }
+    if (name == "expected_time") {
+        return std::make_unique<expected_time>();
+    }
     if (name == "load_aware") {
         return std::make_unique<load_aware>();
     }
--- a/src/chervilturn/selection/policy.hpp
+++ b/src/chervilturn/selection/policy.hpp
@@ -19,6 +19,13 @@
     std::size_t index = 0; // within the service's backend servers
     distance away = distance::same_data_centre;
     const load_view* view = nullptr;
+    bool refused_before = false; // the owner refused this very call for want of room or speed
+};
+
+/// @brief What is known of the call before it is sent.
+struct call_estimate {
+    microseconds service{};    // its usual time at a backend server; zero when not known
+    microseconds until_late{}; // until an answer loses its full value; zero when not stated
 };
 
 /// @brief Picks one of several candidates.
@@ -30,8 +37,11 @@
     virtual ~policy() = default;
 
     /// @brief The position of the chosen candidate; candidates is never empty.
-    [[nodiscard]] virtual std::size_t pick(std::span<const candidate> candidates, random_source& random,
-                                           instant now) = 0;
+    [[nodiscard]] virtual std::size_t pick(std::span<const candidate> candidates, const call_estimate& made,
+                                           random_source& random, instant now) = 0;
+
+    /// @brief Whether owners that refused a call for want of room or speed stay candidates for it.
+    [[nodiscard]] virtual bool reconsiders_refusals() const noexcept { return false; }
 
     [[nodiscard]] virtual std::string_view name() const noexcept = 0;
 };
@@ -39,14 +49,16 @@
 /// @brief Every candidate with the same chance.
 class uniform_random final : public policy {
   public:
-    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
     [[nodiscard]] std::string_view name() const noexcept override { return "uniform_random"; }
 };
 
 /// @brief One candidate after the other.
 class round_robin final : public policy {
   public:
-    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
     [[nodiscard]] std::string_view name() const noexcept override { return "round_robin"; }
 
   private:
@@ -56,14 +68,16 @@
 /// @brief The candidate with the fewest of this entry's own calls.
 class least_outstanding final : public policy {
   public:
-    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
     [[nodiscard]] std::string_view name() const noexcept override { return "least_outstanding"; }
 };
 
 /// @brief The better of two random candidates by the last report alone.
 class two_choices final : public policy {
   public:
-    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
     [[nodiscard]] std::string_view name() const noexcept override { return "two_choices"; }
 };
 
@@ -73,10 +87,21 @@
 /// only when no nearer one has.
 class load_aware final : public policy {
   public:
-    std::size_t pick(std::span<const candidate> candidates, random_source& random, instant now) override;
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
     [[nodiscard]] std::string_view name() const noexcept override { return "load_aware"; }
 };
 
+/// @brief The candidate that is expected to answer first: way, wait and work at the host's present pace, with
+/// a price for distance, since links between data centres are paid by volume.
+class expected_time final : public policy {
+  public:
+    std::size_t pick(std::span<const candidate> candidates, const call_estimate& made, random_source& random,
+                     instant now) override;
+    [[nodiscard]] bool reconsiders_refusals() const noexcept override { return true; }
+    [[nodiscard]] std::string_view name() const noexcept override { return "expected_time"; }
+};
+
 /// @brief Draws one part of a traffic split, each with the chance of its weight. Parts are never empty;
 /// without any weight the first is drawn.
 [[nodiscard]] const split_part& pick_split_part(std::span<const split_part> parts, random_source& random);
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -34,6 +34,16 @@
     return {reinterpret_cast<const char*>(value.begin()), value.size()};
 }
 
+[[nodiscard]] std::uint64_t to_micros(microseconds span) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count()));
+}
+
+// Spans beyond a day come from a broken sender and are cut, so that sums of them cannot overflow.
+[[nodiscard]] microseconds from_micros(std::uint64_t count) {
+    constexpr std::uint64_t longest = 86'400'000'000; // microseconds in a day
+    return microseconds{static_cast<std::int64_t>(std::min(longest, count))};
+}
+
 void write_attempt(wire::AttemptId::Builder target, const attempt_id& attempt) {
     target.setEntry(attempt.entry);
     target.setSequence(attempt.sequence);
@@ -118,7 +128,7 @@
     target.setRoute(to_text(sent.route));
     target.setUrgent(sent.urgent);
     target.setIdempotent(sent.idempotent);
-    target.setRemainingMicros(static_cast<std::uint64_t>(std::max<std::int64_t>(0, sent.remaining.count())));
+    target.setRemainingMicros(to_micros(sent.remaining));
     target.setExtraAttempts(sent.extra_attempts);
     target.setDepth(sent.depth);
     target.setKey(to_text(sent.key.text));
@@ -130,10 +140,11 @@
     target.setRequestId(to_text(sent.request_id));
     target.setOrigin(to_text(sent.origin));
     target.setLastResort(sent.last_resort);
+    target.setUntilLateMicros(to_micros(sent.until_late));
+    target.setUsualServiceMicros(to_micros(sent.usual_service));
 }
 
 [[nodiscard]] call read_call(wire::Call::Reader source) {
-    constexpr std::uint64_t longest = 86'400'000'000; // microseconds in a day
     call received;
     received.attempt = read_attempt(source.getAttempt());
     received.team = from_text(source.getTeam());
@@ -142,8 +153,7 @@
     received.route = from_text(source.getRoute());
     received.urgent = source.getUrgent();
     received.idempotent = source.getIdempotent();
-    received.remaining =
-        microseconds{static_cast<std::int64_t>(std::min(longest, source.getRemainingMicros()))};
+    received.remaining = from_micros(source.getRemainingMicros());
     received.extra_attempts = source.getExtraAttempts();
     received.depth = source.getDepth();
     received.key.text = from_text(source.getKey());
@@ -155,6 +165,8 @@
     received.request_id = from_text(source.getRequestId());
     received.origin = from_text(source.getOrigin());
     received.last_resort = source.getLastResort();
+    received.until_late = from_micros(source.getUntilLateMicros());
+    received.usual_service = from_micros(source.getUsualServiceMicros());
     return received;
 }
 
@@ -174,8 +186,7 @@
     target.setBackendServer(to_text(sent.backend_server));
     target.setOwnerHost(to_text(sent.owner_host));
     target.setKeyNeverRan(sent.key_never_ran);
-    target.setRetryAfterMicros(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, sent.retry_after.count())));
+    target.setRetryAfterMicros(to_micros(sent.retry_after));
 }
 
 [[nodiscard]] result<answer, codec_error> read_answer(wire::Answer::Reader source) {
@@ -198,7 +209,7 @@
     received.backend_server = from_text(source.getBackendServer());
     received.owner_host = from_text(source.getOwnerHost());
     received.key_never_ran = source.getKeyNeverRan();
-    received.retry_after = microseconds{static_cast<std::int64_t>(source.getRetryAfterMicros())};
+    received.retry_after = from_micros(source.getRetryAfterMicros());
     return received;
 }
 
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b64b1b596b5d53ef, 4, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(b64b1b596b5d53ef, 6, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -820,6 +820,10 @@
 
   inline bool getLastResort() const;
 
+  inline  ::uint64_t getUntilLateMicros() const;
+
+  inline  ::uint64_t getUsualServiceMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -953,6 +957,12 @@
   inline bool getLastResort();
   inline void setLastResort(bool value);
 
+  inline  ::uint64_t getUntilLateMicros();
+  inline void setUntilLateMicros( ::uint64_t value);
+
+  inline  ::uint64_t getUsualServiceMicros();
+  inline void setUsualServiceMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3232,6 +3242,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Call::Reader::getUntilLateMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getUntilLateMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setUntilLateMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Call::Reader::getUsualServiceMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getUsualServiceMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setUsualServiceMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getInUse() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -270,4 +270,41 @@
     }
 }
 
+TEST_CASE("a call that would be late here goes elsewhere while it can") {
+    const instant now{1s};
+    auto gate = warm_door(2, 10);
+    auto entry = entry_of(1, "a", now + 1s);
+    entry.usual_service = 50ms;
+    entry.late_from = now + 100ms; // an answer is late after 150 ms
+
+    SECTION("since the host is slow at present") {
+        gate.learn_slowdown(400, now);
+        const auto admitted = gate.admit(entry, now);
+        REQUIRE(std::holds_alternative<refused>(admitted));
+        CHECK(std::get<refused>(admitted).why == reason::would_be_late);
+        SECTION("but runs as a last resort") {
+            entry.last_resort = true;
+            CHECK(std::holds_alternative<dispatched>(gate.admit(entry, now)));
+        }
+        SECTION("and is taken once the report is old") {
+            entry.late_from += 500ms;
+            CHECK(std::holds_alternative<dispatched>(gate.admit(entry, now + 500ms)));
+        }
+    }
+    SECTION("and waits behind calls that can still be in time, when nobody took it") {
+        REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(10, "a", now + 1s), now)));
+        REQUIRE(std::holds_alternative<dispatched>(gate.admit(entry_of(11, "a", now + 1s), now)));
+        auto late = entry_of(12, "a", now + 1s);
+        late.late_from = now - 1ms;
+        REQUIRE(std::holds_alternative<queued>(gate.admit(late, now)));
+        auto timely = entry_of(13, "a", now + 1s);
+        timely.late_from = now + 500ms;
+        REQUIRE(std::holds_alternative<queued>(gate.admit(timely, now)));
+        gate.complete({1, 10}, 50ms);
+        CHECK(gate.advance(now).dispatch == std::vector<attempt_id>{{1, 13}});
+        gate.complete({1, 11}, 50ms);
+        CHECK(gate.advance(now).dispatch == std::vector<attempt_id>{{1, 12}});
+    }
+}
+
 } // namespace chervilturn
--- a/test/chervilturn/selection/selection_test.cpp
+++ b/test/chervilturn/selection/selection_test.cpp
@@ -27,7 +27,7 @@
         std::uint16_t port = 7000;
         for (const auto* place : {"capital-a", "capital-a", "capital-b", "coast-a"}) {
             passports.backend_servers.push_back(
-                {.name = place, .node = {"10.0.0.1", ++port}, .data_centre = place, .slots = 2});
+                {.name = place + std::to_string(port), .node = {"10.0.0.1", ++port}, .data_centre = place, .slots = 2});
             this->views.emplace_back(2);
         }
         this->owner = &made;
@@ -41,8 +41,12 @@
                                           .target = this->target,
                                           .regions = regions,
                                           .entry_data_centre = "capital-a"};
+        call_history history;
+        for (const auto index : tried) {
+            history.tried.push_back(this->target->backend_servers[index].name);
+        }
         return eligible_candidates(
-            request, tried,
+            request, history,
             [this](const backend_server& server) -> const load_view& {
                 return this->views[static_cast<std::size_t>(server.node.port - 7001)];
             },
@@ -102,7 +106,7 @@
     const instant now{10s};
     const auto pick = [&](instant when) {
         const auto candidates = f.candidates({}, {}, when);
-        return candidates[chosen.pick(candidates, random, when)].index;
+        return candidates[chosen.pick(candidates, {}, random, when)].index;
     };
     for (int turn = 0; turn < 20; ++turn) {
         CHECK(pick(now) <= 1);
@@ -146,15 +150,72 @@
     const instant now{10s};
     const auto candidates = f.candidates({}, {}, now);
     for (const auto* name :
-         {"uniform_random", "round_robin", "least_outstanding", "two_choices", "load_aware"}) {
+         {"uniform_random", "round_robin", "least_outstanding", "two_choices", "load_aware", "expected_time"}) {
         auto made = make_policy(name);
         REQUIRE(made != nullptr);
         CHECK(made->name() == name);
         for (int turn = 0; turn < 50; ++turn) {
-            CHECK(made->pick(candidates, random, now) < candidates.size());
+            CHECK(made->pick(candidates, {}, random, now) < candidates.size());
         }
     }
     CHECK(make_policy("best") == nullptr);
 }
 
+TEST_CASE("the expected time weighs way, pace, room and failures") {
+    fixture f;
+    random_source random{5};
+    expected_time chosen;
+    const instant now{10s};
+    const call_estimate made{.service = 50ms, .until_late = 150ms};
+    const auto pick = [&](instant when) {
+        const auto candidates = f.candidates({}, {}, when);
+        return candidates[chosen.pick(candidates, made, random, when)].index;
+    };
+    const auto report = [&](std::size_t index, std::uint32_t slowdown) {
+        f.views[index].on_sent(now);
+        auto ended = completed(0, 2);
+        ended.load.slowdown_percent = slowdown;
+        ended.service_time = 50ms;
+        f.views[index].on_answer(ended, 51ms, now);
+    };
+    SECTION("near servers are chosen while they keep their pace") {
+        for (int turn = 0; turn < 20; ++turn) {
+            CHECK(pick(now) <= 1);
+        }
+    }
+    SECTION("another data centre is better than a slow host") {
+        report(0, 400);
+        report(1, 400);
+        CHECK(pick(now) == 2);
+        SECTION("and another region is better than only slow hosts, when time is short") {
+            report(2, 400);
+            CHECK(pick(now) == 3);
+        }
+        SECTION("until the report is old") {
+            CHECK(pick(now + 2s) <= 1);
+        }
+    }
+    SECTION("a server that sheds is avoided though it has room") {
+        for (int call = 0; call < 6; ++call) {
+            f.views[0].on_sent(now);
+            f.views[0].on_answer(refuse({}, outcome::not_run, reason::backend_shed), 1ms, now);
+        }
+        for (int turn = 0; turn < 20; ++turn) {
+            CHECK(pick(now + 30ms) == 1);
+        }
+    }
+}
+
+TEST_CASE("a traffic split keeps its weights") {
+    random_source random{9};
+    const std::vector<split_part> parts{{"a", 90}, {"b", 10}, {"c", 0}};
+    std::map<std::string, int> drawn;
+    for (int turn = 0; turn < 10'000; ++turn) {
+        ++drawn[pick_split_part(parts, random).service];
+    }
+    CHECK(drawn["a"] > 8800);
+    CHECK(drawn["a"] < 9200);
+    CHECK(drawn["c"] == 0);
+}
+
 } // namespace chervilturn
