Pack frames between nodes

Cause: bytes between regions were the dearest price; frames carried the zero bytes of Cap'n Proto's words.

--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -5,9 +5,10 @@
 
 #include <algorithm>
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <cstring>
 #include <kj/exception.h>
+#include <kj/io.h>
 #include <optional>
 
 namespace chervilturn {
@@ -337,8 +338,9 @@
 std::string encode(const message& sent) {
     capnp::MallocMessageBuilder builder;
     write_message(builder.initRoot<wire::Frame>(), sent);
-    const auto words = capnp::messageToFlatArray(builder);
-    const auto bytes = words.asBytes();
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const auto bytes = packed.getArray();
     const auto length = static_cast<std::uint32_t>(bytes.size());
     std::string frame(frame_header_bytes + bytes.size(), '\0');
     std::memcpy(frame.data(), &length, frame_header_bytes);
@@ -347,17 +349,12 @@
 }
 
 result<message, codec_error> decode(std::span<const std::byte> frame) {
-    const auto word_count = frame.size() / sizeof(capnp::word);
-    if (frame.size() % sizeof(capnp::word) != 0 || word_count == 0) {
-        return codec_error{"frame is not a whole number of words"};
-    }
-    auto words = kj::heapArray<capnp::word>(word_count);
-    std::memcpy(words.begin(), frame.data(), frame.size());
     std::optional<result<message, codec_error>> decoded;
     const auto failure = kj::runCatchingExceptions([&] {
         const capnp::ReaderOptions limits{.traversalLimitInWords = max_traversal_words,
                                           .nestingLimit = max_nesting};
-        capnp::FlatArrayMessageReader reader{words, limits};
+        kj::ArrayInputStream bytes{{reinterpret_cast<const kj::byte*>(frame.data()), frame.size()}};
+        capnp::PackedMessageReader reader{bytes, limits};
         decoded = read_message(reader.getRoot<wire::Frame>());
     });
     KJ_IF_MAYBE (problem, failure) {
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -11,7 +11,7 @@
 
 namespace chervilturn {
 
-inline constexpr std::uint32_t protocol_version = 1;
+inline constexpr std::uint32_t protocol_version = 2;
 
 /// @brief Introduces the side that opened a connection.
 struct hello {
