--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -55,6 +55,12 @@
     reading.pause = reader.milliseconds_or("pause_ms", {0, 60'000}, reading.pause);
     reading.readers_per_data_centre = static_cast<std::uint32_t>(
         reader.integer_or("readers_per_data_centre", {1, 1000}, reading.readers_per_data_centre));
+    reading.parent_ping = reader.milliseconds_or("parent_ping_ms", {10, 60'000}, reading.parent_ping);
+    reading.parent_suspect =
+        reader.milliseconds_or("parent_suspect_ms", {20, 120'000}, reading.parent_suspect);
+    if (reading.parent_ping >= reading.parent_suspect) {
+        reader.reject("parent_ping_ms", "less than parent_suspect_ms");
+    }
     return reading;
 }
 
@@ -97,7 +103,7 @@
 
 const std::vector<std::string>& policy_names() {
     static const std::vector<std::string> names{"uniform_random", "round_robin", "least_outstanding",
-                                                "two_choices", "load_aware", "expected_time"};
+                                                "two_choices",    "load_aware",  "expected_time"};
     return names;
 }
 
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -41,9 +41,11 @@
 
 /// @brief How the platform is read by the nodes that read it.
 struct reading_options {
-    microseconds wait = std::chrono::seconds{20};       // for a change, in one call
-    microseconds pause = std::chrono::milliseconds{50}; // between two calls
-    std::uint32_t readers_per_data_centre = 2;          // nodes that read; all others ask them
+    microseconds wait = std::chrono::seconds{20};          // for a change, in one call
+    microseconds pause = std::chrono::milliseconds{50};    // between two calls
+    std::uint32_t readers_per_data_centre = 2;             // nodes that read; all others ask them
+    microseconds parent_ping = std::chrono::seconds{2};    // a silent node that settings come from is pinged
+    microseconds parent_suspect = std::chrono::seconds{3}; // and its connection suspected
 };
 
 /// @brief Everything that a node learns from its settings file.
--- /dev/null
+++ b/src/chervilturn/core/back_off.cpp
@@ -0,0 +1,22 @@
+// Exponential back-off with jitter.
+#include "chervilturn/core/back_off.hpp"
+
+#include <algorithm>
+
+namespace chervilturn {
+
+namespace {
+
+constexpr std::uint32_t max_doublings = 16;
+constexpr double lowest_jitter = 0.5;
+
+} // namespace
+
+microseconds delay_after(std::uint32_t failures, const back_off_options& options, random_source& random) {
+    const auto doubled = options.shortest * (1U << std::min(failures, max_doublings));
+    const auto bounded = std::min<microseconds>(doubled, options.longest);
+    const double jittered = static_cast<double>(bounded.count()) * random.uniform(lowest_jitter, 1.0);
+    return microseconds{static_cast<std::int64_t>(jittered)};
+}
+
+} // namespace chervilturn
--- a/src/chervilturn/core/fwd.hpp
+++ b/src/chervilturn/core/fwd.hpp
@@ -5,6 +5,7 @@
 
 struct address;
 class token_bucket;
+struct back_off_options;
 class random_source;
 template<typename State, typename Event> class state_chart;
 template<typename State, typename Event> class state_machine;
--- a/src/chervilturn/node/links_task.cpp
+++ b/src/chervilturn/node/links_task.cpp
@@ -85,6 +85,11 @@
     request.reply(std::move(described));
 }
 
+connection_options links_task::health_options() const {
+    const auto& reading = this->context->settings.reading;
+    return {.with_subscription = {reading.parent_ping, reading.parent_suspect}};
+}
+
 links_task::link& links_task::link_to(const address& peer) {
     const auto now = now_monotonic();
     const auto found = this->links.find(peer);
@@ -95,7 +100,7 @@
     link made{.peer = peer,
               .current = nullptr,
               .fresh = nullptr,
-              .health = connection_health{{}, now},
+              .health = connection_health{this->health_options(), now},
               .outstanding = {},
               .held = {},
               .followed = {}};
@@ -127,7 +132,7 @@
     const auto now = now_monotonic();
     opened.current_generation = ++this->generations;
     opened.current = this->open_connection(opened, opened.current_generation);
-    opened.health = connection_health{{}, now};
+    opened.health = connection_health{this->health_options(), now};
     opened.owner_incarnation = 0;
     opened.opened_at = now;
     opened.used_at = now;
@@ -184,7 +189,7 @@
     replaced.current->close();
     replaced.current = std::move(replaced.fresh);
     replaced.current_generation = std::exchange(replaced.fresh_generation, 0);
-    replaced.health = connection_health{{}, now};
+    replaced.health = connection_health{this->health_options(), now};
     replaced.health.on_connected(now);
     replaced.owner_incarnation = owner_incarnation;
     this->inquire_outstanding(replaced);
--- a/src/chervilturn/node/links_task.hpp
+++ b/src/chervilturn/node/links_task.hpp
@@ -55,6 +55,7 @@
     void handle(const send_key_inquiry& request);
     void handle(const describe_request& request);
 
+    [[nodiscard]] connection_options health_options() const;
     [[nodiscard]] link& link_to(const address& peer);
     [[nodiscard]] std::shared_ptr<peer_connection> open_connection(link& opened, std::uint64_t generation);
     void start_current(link& opened);
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -1,6 +1,7 @@
 // Watching and reading of the platform.
 #include "chervilturn/node/settings_reader.hpp"
 
+#include "chervilturn/core/back_off.hpp"
 #include "chervilturn/observe/log.hpp"
 
 #include <algorithm>
@@ -9,12 +10,7 @@
 
 namespace {
 
-constexpr microseconds shortest_back_off = std::chrono::milliseconds{250};
-constexpr microseconds longest_back_off = std::chrono::seconds{4};
 constexpr std::size_t parallel_reads = 4;
-constexpr std::uint32_t max_doublings = 8;
-constexpr double jitter_low = 0.5;
-constexpr double jitter_high = 1.0;
 
 } // namespace
 
@@ -152,15 +148,12 @@
 void settings_reader::back_off(const platform_error& error) {
     ++this->round;
     ++this->context->measured->counters().platform_failures;
-    const auto doubled = shortest_back_off * (1U << std::min(this->failures, max_doublings));
-    const auto bounded = std::min<microseconds>(doubled, longest_back_off);
+    const auto delay = delay_after(this->failures, {}, this->random);
     if (this->failures == 0) {
         log_event(log_level::warn, "platform_unreachable", {{"error", error.message}});
     }
     ++this->failures;
-    const double jittered =
-        static_cast<double>(bounded.count()) * this->random.uniform(jitter_low, jitter_high);
-    this->schedule(microseconds{static_cast<std::int64_t>(jittered)});
+    this->schedule(delay);
 }
 
 void settings_reader::schedule(microseconds delay) {
--- a/src/chervilturn/selection/policy.cpp
+++ b/src/chervilturn/selection/policy.cpp
@@ -14,12 +14,12 @@
 constexpr std::size_t load_aware_choices = 3;
 constexpr double ordinary_spread = 3.0; // of latencies among healthy backend servers
 
-constexpr double selection_jitter = 0.05; // share of the expected time
+constexpr double selection_jitter = 0.05;           // share of the expected time
 constexpr double unknown_service_micros = 50'000.0; // before the first answer on a route
 constexpr double utilisation_weight = 0.3; // of a full backend server, as a share of the service time
 constexpr double failure_weight = 1.0;     // of a certain failure, as a share of the time until late
 // Price of the bytes on the way, as a share of the time until late.
-constexpr std::array<double, 3> distance_price{0.0, 0.02, 0.2};
+constexpr std::array<double, 3> distance_price{0.0, 0.02, 0.35};
 // One round trip, before one was measured.
 constexpr std::array<double, 3> usual_round_trip_micros{500.0, 4'000.0, 62'000.0};
 
@@ -28,8 +28,8 @@
     const auto away = static_cast<std::size_t>(rated.away);
     const double usual = made.service > microseconds::zero() ? static_cast<double>(made.service.count())
                                                              : unknown_service_micros;
-    const double late = made.until_late > microseconds::zero() ? static_cast<double>(made.until_late.count())
-                                                               : usual;
+    const double late =
+        made.until_late > microseconds::zero() ? static_cast<double>(made.until_late.count()) : usual;
     const double service = usual * view.pace(now);
     const double load = view.estimated_calls(now) + 1.0;
     const double limit = view.limit(now);
@@ -89,15 +89,18 @@
 
 } // namespace
 
-std::size_t uniform_random::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
+std::size_t uniform_random::pick(std::span<const candidate> candidates, const call_estimate&,
+                                 random_source& random, instant) {
     return random.index(candidates.size());
 }
 
-std::size_t round_robin::pick(std::span<const candidate> candidates, const call_estimate&, random_source&, instant) {
+std::size_t round_robin::pick(std::span<const candidate> candidates, const call_estimate&, random_source&,
+                              instant) {
     return this->turn++ % candidates.size();
 }
 
-std::size_t least_outstanding::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
+std::size_t least_outstanding::pick(std::span<const candidate> candidates, const call_estimate&,
+                                    random_source& random, instant) {
     std::size_t best = random.index(candidates.size());
     for (std::size_t position = 0; position < candidates.size(); ++position) {
         if (candidates[position].view->outstanding() < candidates[best].view->outstanding()) {
@@ -107,13 +110,15 @@
     return best;
 }
 
-std::size_t two_choices::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant) {
+std::size_t two_choices::pick(std::span<const candidate> candidates, const call_estimate&,
+                              random_source& random, instant) {
     const auto first = random.index(candidates.size());
     const auto second = random.index(candidates.size());
     return candidates[second].view->reported() < candidates[first].view->reported() ? second : first;
 }
 
-std::size_t load_aware::pick(std::span<const candidate> candidates, const call_estimate&, random_source& random, instant now) {
+std::size_t load_aware::pick(std::span<const candidate> candidates, const call_estimate&,
+                             random_source& random, instant now) {
     std::vector<std::size_t> positions;
     for (const auto away : {distance::same_data_centre, distance::same_region, distance::other_region}) {
         positions.clear();
