Compare header names and read failed answers in one place; remove what nothing calls

Change: is_same_name in transport/http and is_backend_failure in call/retry serve all; the unused members are gone. No behaviour, check or bound changes.

Ruled out: merging the pairs of overriding declarations in platform/ and own_protocol, which are one interface each.

--- a/src/chervilturn/admission/cold_limit.cpp
+++ b/src/chervilturn/admission/cold_limit.cpp
@@ -39,10 +39,6 @@
     return !this->cold(now) || this->allowance.take(1.0, now);
 }
 
-bool cold_limit::has_room(instant now) {
-    return !this->cold(now) || this->allowance.level(now) >= 1.0;
-}
-
 microseconds cold_limit::time_for(std::size_t calls, instant now) const noexcept {
     if (!this->cold(now)) {
         return microseconds::zero();
--- a/src/chervilturn/admission/cold_limit.hpp
+++ b/src/chervilturn/admission/cold_limit.hpp
@@ -35,9 +35,6 @@
     /// @brief Takes one call out of the rate; always true for a warm backend server.
     [[nodiscard]] bool take(instant now);
 
-    /// @brief Whether take would succeed.
-    [[nodiscard]] bool has_room(instant now);
-
     /// @brief The time that a cold backend server needs for so many calls.
     [[nodiscard]] microseconds time_for(std::size_t calls, instant now) const noexcept;
 
--- a/src/chervilturn/node/protocol.hpp
+++ b/src/chervilturn/node/protocol.hpp
@@ -91,7 +91,6 @@
 
 /// @brief A response to a probe, read.
 struct probe_report {
-    bool healthy = true;
     bool draining = false;
     std::string boot_mark;   // changes with each start; empty when not told
     std::string server_name; // as settings call it; empty when not told
--- a/src/chervilturn/node/request_reader.cpp
+++ b/src/chervilturn/node/request_reader.cpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <charconv>
 #include <optional>
-#include <strings.h>
 
 namespace chervilturn {
 
@@ -123,7 +122,7 @@
                                                "chervilturn-extra-attempts",
                                                "chervilturn-key-created-ms"};
     return std::any_of(names.begin(), names.end(),
-                       [&item](const char* name) { return strcasecmp(item.name.c_str(), name) == 0; });
+                       [&item](const char* name) { return is_same_name(item.name, name); });
 }
 
 [[nodiscard]] std::vector<header> forwarded_headers(std::vector<header>&& headers) {
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -1,6 +1,8 @@
 // Ageing of load reports and latencies.
 #include "chervilturn/selection/load_view.hpp"
 
+#include "chervilturn/call/retry.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -50,15 +52,6 @@
 
 } // namespace
 
-namespace {
-
-[[nodiscard]] bool is_server_error(const answer& ended) noexcept {
-    constexpr std::uint16_t first_server_error = 500;
-    return ended.status >= first_server_error;
-}
-
-} // namespace
-
 load_view::load_view(std::uint32_t configured_slots) noexcept : slots{configured_slots} {
     this->report.limit = configured_slots;
 }
@@ -77,7 +70,7 @@
     const bool shed = ended.why == reason::backend_shed;
     const bool ran = ended.result != outcome::not_run;
     if (ran || shed) {
-        const bool failed = shed || ended.result == outcome::unknown || is_server_error(ended);
+        const bool failed = shed || ended.result == outcome::unknown || is_backend_failure(ended);
         this->learn_failure(failed, now);
     }
     if (ended.result == outcome::completed) {
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -47,6 +47,9 @@
 
 using http_result = std::variant<http_response, http_failure>;
 
+/// @brief Whether two header names are the same, in any case.
+[[nodiscard]] bool is_same_name(std::string_view left, std::string_view right) noexcept;
+
 /// @brief The first value of a header, by a name in any case; empty when absent.
 [[nodiscard]] std::string_view find_header(const std::vector<header>& headers,
                                            std::string_view name) noexcept;
@@ -80,9 +83,6 @@
     /// @brief Responds; does nothing when the other side has gone.
     void respond(const http_response& response);
 
-    /// @brief Ends the connection without a response.
-    void abort();
-
     /// @brief Called when the other side closes before the response.
     void on_abandoned(std::function<void()> handler) { this->abandoned = std::move(handler); }
 
@@ -113,8 +113,6 @@
     /// @brief Changes limits and time-outs, also of open connections.
     void configure(const http_server_options& changed) noexcept { this->options = changed; }
 
-    [[nodiscard]] const http_server_options& limits() const noexcept { return this->options; }
-
     /// @brief Asks callers by each response to close their connections.
     void close_after_responses() noexcept { this->closing = true; }
 
@@ -124,9 +122,6 @@
     /// @brief Whether nothing is read, at work or being written on any connection.
     [[nodiscard]] bool idle() const noexcept;
 
-    /// @brief Open connections.
-    [[nodiscard]] std::size_t connections() const noexcept { return this->open.size(); }
-
   private:
     friend class internal::server_connection;
 
@@ -190,9 +185,6 @@
     /// @brief Drops all idle connections.
     void drop_idle() noexcept;
 
-    /// @brief Connections opened so far.
-    [[nodiscard]] std::uint64_t opened() const noexcept { return this->opened_count; }
-
   private:
     friend class internal::client_connection;
     using connection_handle = std::shared_ptr<internal::client_connection>;
@@ -209,7 +201,6 @@
     std::vector<connection_handle> idle;
     std::vector<std::pair<std::shared_ptr<exchange>, http_result>> ended; // handlers still to be called
     std::list<std::shared_ptr<exchange>> in_progress;
-    std::uint64_t opened_count = 0;
     wake_up deliver;
     timer sweeper;
 };
--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -229,7 +229,6 @@
         }
         reused->close();
     }
-    ++this->opened_count;
     return std::make_shared<internal::client_connection>(*this);
 }
 
--- a/src/chervilturn/transport/http_common.cpp
+++ b/src/chervilturn/transport/http_common.cpp
@@ -7,14 +7,10 @@
 
 namespace chervilturn {
 
-namespace {
-
-[[nodiscard]] bool same_name(std::string_view left, std::string_view right) noexcept {
+bool is_same_name(std::string_view left, std::string_view right) noexcept {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
-} // namespace
-
 std::string_view to_string(http_failure failure) noexcept {
     constexpr std::array<std::string_view, 6> names{"refused",   "timed_out", "cut",
                                                     "too_large", "malformed", "cancelled"};
@@ -23,7 +19,7 @@
 
 std::string_view find_header(const std::vector<header>& headers, std::string_view name) noexcept {
     const auto found = std::find_if(headers.begin(), headers.end(),
-                                    [name](const header& item) { return same_name(item.name, name); });
+                                    [name](const header& item) { return is_same_name(item.name, name); });
     return found == headers.end() ? std::string_view{} : std::string_view{found->value};
 }
 
@@ -38,7 +34,7 @@
                                                      "transfer-encoding",
                                                      "upgrade",
                                                      "content-length"};
-    return std::any_of(names.begin(), names.end(), [name](auto known) { return same_name(known, name); });
+    return std::any_of(names.begin(), names.end(), [name](auto known) { return is_same_name(known, name); });
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/transport/http_reader.cpp
+++ b/src/chervilturn/transport/http_reader.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <event2/buffer.h>
-#include <strings.h>
 
 namespace chervilturn::internal {
 
@@ -69,13 +68,10 @@
            std::all_of(value.begin(), value.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
 }
 
-[[nodiscard]] bool same_name(std::string_view left, std::string_view right) noexcept {
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 [[nodiscard]] std::size_t count_of(const std::vector<header>& headers, std::string_view name) {
-    return static_cast<std::size_t>(std::count_if(
-        headers.begin(), headers.end(), [name](const header& item) { return same_name(item.name, name); }));
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [name](const header& item) {
+        return is_same_name(item.name, name);
+    }));
 }
 
 } // namespace
@@ -251,7 +247,7 @@
     if (lengths == 1 && !is_length(find_header(headers, "content-length"))) {
         return false;
     }
-    if (codings == 1 && (!same_name(find_header(headers, "transfer-encoding"), "chunked") ||
+    if (codings == 1 && (!is_same_name(find_header(headers, "transfer-encoding"), "chunked") ||
                          this->parser.http_major != 1 || this->parser.http_minor != 1)) {
         return false;
     }
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -57,11 +57,6 @@
         }
     }
 
-    void abort() {
-        this->exchange.reset();
-        this->end();
-    }
-
     /// @brief Whether nothing is read, at work or being written.
     [[nodiscard]] bool is_idle() const noexcept {
         return (this->state == phase::idle || this->state == phase::lingering) && this->unwritten() == 0;
@@ -226,15 +221,6 @@
     }
 }
 
-void http_exchange::abort() {
-    const auto carrier = this->connection.lock();
-    this->connection.reset();
-    this->abandoned = nullptr;
-    if (carrier != nullptr && carrier->is_open()) {
-        carrier->abort();
-    }
-}
-
 void http_exchange::notice_abandoned() {
     this->connection.reset();
     if (this->abandoned) {
