--- a/test/platform/store_platform_test.cpp
+++ b/test/platform/store_platform_test.cpp
@@ -73,6 +73,7 @@
 
     mirror() {
         this->settings.peers = {"127.0.0.1", 7000};
+        this->settings.reachable_at = this->settings.peers;
         this->settings.data_centres = {{"dakar-a", "dakar"}};
         this->platform = std::make_unique<store_platform>(this->loop, this->settings, this->store.where);
     }
