--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -29,7 +29,7 @@
 
 void backend_probe::send() {
     const auto now = now_monotonic();
-    if (this->in_progress || !this->budget.take(1.0, now)) {
+    if (this->path.empty() || this->in_progress || !this->budget.take(1.0, now)) {
         return;
     }
     this->in_progress = true;
--- a/src/chervilturn/node/backend_probe.hpp
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -33,7 +33,7 @@
     http_client* client;
     warm_up_limit* limit;
     report_handler receiver;
-    std::string path = "/load";
+    std::string path; // empty until settings tell it; nothing is asked before
     token_bucket budget;
     bool in_progress = false;
     std::string boot_mark; // of the backend server; empty before the first report
