--- a/src/chervilturn/observe/log.cpp
+++ b/src/chervilturn/observe/log.cpp
@@ -116,7 +116,7 @@
 
 void start_logging(const std::string& level, const std::string& host) {
     const auto pattern =
-        "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} level=%p host=" + escape_log_value(host) + " %m%n";
+        "time=%d{yyyy-MM-dd}{GMT}T%d{HH:mm:ss.SSS}{GMT}Z level=%p host=" + escape_log_value(host) + " %m%n";
     const auto appender = std::make_shared<buffer_appender>();
     appender->setLayout(std::make_shared<log4cxx::PatternLayout>(pattern));
     log4cxx::BasicConfigurator::configure(appender);
--- a/tools/operators_main.cpp
+++ b/tools/operators_main.cpp
@@ -1,5 +1,7 @@
-// The operators' command: checks a settings tree, shows a node's status, explains where a call would go.
+// The operators' command: checks a settings tree, shows a node's status, explains where a call would go, and
+// traces a request through the logs of many nodes.
 #include "chervilturn/config/tree.hpp"
+#include "chervilturn/observe/trace.hpp"
 #include "chervilturn/transport/http.hpp"
 
 #include <fstream>
@@ -18,7 +20,7 @@
 
 struct arguments {
     std::string command;
-    std::string operand; // a file or a node's operators' address
+    std::vector<std::string> operands; // a file, a node's operators' address, or a request's id and files
     std::string team;
     std::string workspace;
     std::string service;
@@ -26,22 +28,24 @@
 };
 
 [[nodiscard]] arguments read_arguments(int count, char** values) {
-    TCLAP::CmdLine line{"Operators' command of chervilturn.\n"
-                        "  check FILE                 check a settings tree: {\"teams/T/KIND/NAME\": {...}}\n"
-                        "  status IP:PORT             show a node's status page\n"
-                        "  explain IP:PORT --team ... show where a call would go and why",
-                        ' ', CHERVILTURN_VERSION};
-    TCLAP::UnlabeledValueArg<std::string> command{"command", "check, status or explain", true, "", "COMMAND",
-                                                  line};
-    TCLAP::UnlabeledValueArg<std::string> operand{
-        "operand", "FILE, or operators' address of a node", true, "", "FILE|IP:PORT", line};
+    TCLAP::CmdLine line{
+        "Operators' command of chervilturn.\n"
+        "  check FILE                 check a settings tree: {\"teams/T/KIND/NAME\": {...}}\n"
+        "  status IP:PORT             show a node's status page\n"
+        "  explain IP:PORT --team ... show where a call would go and why\n"
+        "  trace ID FILE...           show a request's way, and why it ended so, from nodes' logs",
+        ' ', CHERVILTURN_VERSION};
+    TCLAP::UnlabeledValueArg<std::string> command{
+        "command", "check, status, explain or trace", true, "", "COMMAND", line};
+    TCLAP::UnlabeledMultiArg<std::string> operands{
+        "operands", "FILE, operators' address of a node, or ID FILE...", true, "FILE|IP:PORT|ID", line};
     TCLAP::ValueArg<std::string> team{"", "team", "Team", false, "", "NAME", line};
     TCLAP::ValueArg<std::string> workspace{"", "workspace", "Workspace", false, "", "NAME", line};
     TCLAP::ValueArg<std::string> service{"", "service", "Service", false, "", "NAME", line};
     TCLAP::ValueArg<std::string> path{"", "path", "Path within the service", false, "/", "PATH", line};
     line.parse(count, values);
-    return {command.getValue(),   operand.getValue(), team.getValue(),
-            workspace.getValue(), service.getValue(), path.getValue()};
+    return {command.getValue(),   operands.getValue(), team.getValue(),
+            workspace.getValue(), service.getValue(),  path.getValue()};
 }
 
 int check_tree(const std::string& file) {
@@ -113,19 +117,55 @@
     return exit_code;
 }
 
+int trace_request(const std::string& id, const std::vector<std::string>& files) {
+    request_trace traced{id};
+    for (const auto& file : files) {
+        std::ifstream stream{file};
+        if (!stream) {
+            std::cerr << file << ": cannot be read\n";
+            return exit_invalid;
+        }
+        traced.read(stream);
+    }
+    if (traced.unreadable() > 0) {
+        std::cerr << traced.unreadable() << " lines were cut or are no lines of a node; they are left out\n";
+    }
+    if (traced.left_out() > 0) {
+        std::cerr << "nodes left out " << traced.left_out() << " lines under load; steps may be missing\n";
+    }
+    if (!traced.found()) {
+        std::cerr << "no line speaks of request \"" << id << "\"\n";
+        return exit_failure;
+    }
+    std::cout << traced.text();
+    return 0;
+}
+
 int run(const arguments& given) {
+    const auto& operand = given.operands.front();
+    if (given.command == "trace") {
+        if (given.operands.size() < 2) {
+            std::cerr << "trace needs the id of a request and the nodes' log files\n";
+            return exit_invalid;
+        }
+        return trace_request(operand, {given.operands.begin() + 1, given.operands.end()});
+    }
+    if (given.operands.size() > 1) {
+        std::cerr << "command \"" << given.command << "\" takes one operand\n";
+        return exit_invalid;
+    }
     if (given.command == "check") {
-        return check_tree(given.operand);
+        return check_tree(operand);
     }
     if (given.command == "status") {
-        return print_page(given.operand, "/status");
+        return print_page(operand, "/status");
     }
     if (given.command == "explain") {
-        return print_page(given.operand,
-                          "/explain?team=" + escape(given.team) + "&workspace=" + escape(given.workspace) +
-                              "&service=" + escape(given.service) + "&path=" + escape(given.path));
+        return print_page(operand, "/explain?team=" + escape(given.team) +
+                                       "&workspace=" + escape(given.workspace) +
+                                       "&service=" + escape(given.service) + "&path=" + escape(given.path));
     }
-    std::cerr << "command \"" << given.command << "\" is not check, status or explain\n";
+    std::cerr << "command \"" << given.command << "\" is not check, status, explain or trace\n";
     return exit_invalid;
 }
 
