--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -129,6 +129,7 @@
     }
 }
 
+// Addresses, the platform and the policy are only taken at the start; the rest holds from now on.
 void node::parts::reload() {
     const auto read = this->read_settings();
     if (!succeeded(read)) {
@@ -137,19 +138,22 @@
     }
     auto& held = this->context.settings;
     auto fresh = value_of(read);
-    const bool moved = fresh.callers != held.callers || fresh.peers != held.peers ||
-                       fresh.operators != held.operators || fresh.backend_server != held.backend_server;
+    const bool restart = fresh.callers != held.callers || fresh.peers != held.peers ||
+                         fresh.reachable_at != held.reachable_at || fresh.operators != held.operators ||
+                         fresh.backend_server != held.backend_server || fresh.platform != held.platform ||
+                         fresh.policy != held.policy;
     fresh.callers = held.callers;
     fresh.peers = held.peers;
     fresh.reachable_at = held.reachable_at;
     fresh.operators = held.operators;
     fresh.backend_server = held.backend_server;
     fresh.platform = held.platform;
+    fresh.policy = held.policy;
     fresh.seed = held.seed;
     held = std::move(fresh);
     set_log_level(held.log_level);
     log_event(log_level::info, "settings_reloaded",
-              {{"file", this->settings_file}, {"addresses_need_restart", moved ? "yes" : "no"}});
+              {{"file", this->settings_file}, {"needs_restart", restart ? "yes" : "no"}});
 }
 
 void node::parts::check_settings_file() {
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -150,15 +150,31 @@
   end)
 end
 
-function fleet_methods:start_node(node)
+-- Writes the settings file of a node; returns its path.
+function fleet_methods:write_settings(node, changes)
   local settings = { host = node.name, data_centre = node.data_centre, callers = address_of(node.callers),
     peers = address_of(node.peers), reachable_at = address_of(node.reachable),
     operators = address_of(node.operators), backend_server = address_of(node.backend),
     platform = { address_of(self.platform.port) }, seed = self.options.seed }
   for key, value in pairs(self.options.node or {}) do settings[key] = value end
   if node.seeds then settings.seeds = node.seeds end
-  local file = write_file(node.name .. ".json", encode(settings))
-  node.pid = spawn(node.name .. ".log", { "chervilturn-node", "--config", file })
+  for key, value in pairs(changes or {}) do settings[key] = value end
+  return write_file(node.name .. ".json", encode(settings))
+end
+
+function fleet_methods:start_node(node)
+  node.pid = spawn(node.name .. ".log", { "chervilturn-node", "--config", self:write_settings(node) })
+end
+
+-- Lines of a node's log that hold all of some texts.
+function fleet_methods:log_lines(node, ...)
+  local count = 0
+  for line in io.lines(folder() .. "/" .. node.name .. ".log") do
+    local holds = true
+    for _, text in ipairs { ... } do holds = holds and line:find(text, 1, true) ~= nil end
+    count = count + (holds and 1 or 0)
+  end
+  return count
 end
 
 function fleet_methods:start_relay(node)
--- a/test/support/scenario_main.cpp
+++ b/test/support/scenario_main.cpp
@@ -72,7 +72,7 @@
 
 int lua_signal(lua_State* lua) {
     const std::map<std::string, int> numbers{
-        {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+        {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"HUP", SIGHUP}};
     host_of(lua).signal(static_cast<pid_t>(luaL_checkinteger(lua, 1)), numbers.at(luaL_checkstring(lua, 2)));
     return 0;
 }
