--- a/src/chervilturn/call/retry.hpp
+++ b/src/chervilturn/call/retry.hpp
@@ -30,6 +30,9 @@
     /// @brief Pays for one extra attempt if the budget allows it.
     [[nodiscard]] bool take() noexcept;
 
+    /// @brief Extra attempts that may be taken now.
+    [[nodiscard]] double left() const noexcept { return this->saved; }
+
   private:
     double earned_per_call;
     double capacity;
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -79,6 +79,7 @@
 
 void control_task::handle(const update_received& message) {
     const bool changed = this->offer_all(message.update.subtrees, to_string(message.peer));
+    this->show_confirmed();
     if (changed) {
         this->publish();
     }
@@ -124,6 +125,7 @@
 
 void control_task::on_batch(const std::vector<subtree_snapshot>& batch) {
     const bool changed = this->offer_all(batch, "platform");
+    this->show_confirmed();
     if (changed) {
         this->publish();
     }
@@ -135,6 +137,16 @@
     }
 }
 
+// The platform or a peer has told all that it has beyond this node's settings.
+void control_task::show_confirmed() {
+    auto& shown = this->context->measured->beliefs();
+    shown.settings_confirmed_at = now_monotonic();
+    shown.followers = this->subscribers.size();
+    for (const auto& subtree : this->tree.digest()) {
+        shown.settings_revision = std::max(shown.settings_revision, subtree.revision);
+    }
+}
+
 bool control_task::offer_all(const std::vector<subtree_snapshot>& offered, const std::string& source) {
     bool changed = false;
     auto& counters = this->context->measured->counters();
--- a/src/chervilturn/node/control_task.hpp
+++ b/src/chervilturn/node/control_task.hpp
@@ -34,6 +34,7 @@
 
     void on_batch(const std::vector<subtree_snapshot>& batch);
     [[nodiscard]] bool offer_all(const std::vector<subtree_snapshot>& offered, const std::string& source);
+    void show_confirmed();
     void publish();
     void push_to_subscribers();
     void take_place();
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr double percent = 100.0;
-constexpr double falling_weight = 0.1; // of a shorter answer in a route's usual service time
-constexpr double rising_weight = 0.05; // of a longer one
 constexpr std::uint16_t status_misdirected = 421;
 constexpr std::uint16_t status_unavailable = 503;
 
@@ -69,92 +67,81 @@
         }
     }
     this->views = std::move(kept);
-    std::erase_if(this->usual_micros, [this](const auto& known) { return !this->has_route(known.first); });
+    this->usual.keep_only([this](const std::string& route) { return this->has_route(route); });
 }
 
 void entry_task::handle(const attempt_ended& message) {
     const auto now = now_monotonic();
-    const auto found = this->attempts.find(message.ended.attempt);
+    const auto& ended = message.ended;
+    const auto found = this->attempts.find(ended.attempt);
     if (found == this->attempts.end()) {
         ++this->context->measured->counters().late_answers;
         return;
     }
     const auto opened = found->second;
     this->attempts.erase(found);
-    opened->in_progress = false;
-    const auto view = this->views.find(opened->owner);
-    if (view != this->views.end()) {
-        if (message.answered) {
-            view->second.on_answer(message.ended, elapsed(opened->sent_at, now), now);
-        } else {
-            view->second.on_silence(now);
-        }
-    }
-    opened->last = message.ended;
-    if (message.ended.retry_after > microseconds::zero() &&
-        (opened->retry_after == microseconds::zero() || message.ended.retry_after < opened->retry_after)) {
-        opened->retry_after = message.ended.retry_after;
-    }
-    opened->may_have_run = opened->may_have_run || message.ended.result == outcome::unknown;
-    auto& budget = this->budget_of(opened->request.made, opened->request.retry_percent);
-    const auto next = opened->plan.decide(message.ended, elapsed(now, opened->deadline), budget);
-    auto& counters = this->context->measured->counters();
-    counters.moves += opened->plan.cause() == step_cause::moved ? 1 : 0;
-    counters.retries += opened->plan.cause() == step_cause::retried ? 1 : 0;
-    counters.retry_budget_spent += opened->plan.cause() == step_cause::budget_spent ? 1 : 0;
+    auto& life = opened->life;
+    const auto owner = life.in_progress()->owner;
+    const auto latency = elapsed(life.in_progress()->sent_at, now);
+    this->learn_load(owner, message, latency);
+    this->learn_service(life.made(), owner, ended);
+    const auto next = life.end_attempt(ended, this->selection->reconsiders_refusals(),
+                                       this->budget_of(life.made(), life.request().retry_percent), now);
+    this->count_step(life, latency);
     log_call(log_level::info, "attempt_ended",
-             {{"request", opened->request.made.request_id},
-              {"attempt", opened->plan.attempts()},
-              {"server", message.ended.backend_server},
-              {"outcome", to_string(message.ended.result)},
-              {"reason", to_string(message.ended.why)},
-              {"status", message.ended.status},
-              {"took_us", elapsed(opened->sent_at, now).count()},
-              {"service_us", message.ended.service_time.count()},
-              {"in_use", message.ended.load.in_use},
-              {"queued", message.ended.load.queued},
-              {"limit", message.ended.load.limit},
-              {"slowdown_percent", message.ended.load.slowdown_percent},
-              {"next", to_string(opened->plan.cause())}});
-    this->learn_service(*opened, message.ended, now);
+             {{"request", life.made().request_id},
+              {"attempt", life.plan().attempts()},
+              {"server", ended.backend_server},
+              {"outcome", to_string(ended.result)},
+              {"reason", to_string(ended.why)},
+              {"status", ended.status},
+              {"took_us", latency.count()},
+              {"service_us", ended.service_time.count()},
+              {"in_use", ended.load.in_use},
+              {"queued", ended.load.queued},
+              {"limit", ended.load.limit},
+              {"slowdown_percent", ended.load.slowdown_percent},
+              {"next", to_string(life.plan().cause())}});
     if (next == next_step::try_again) {
         this->try_next(opened);
         return;
     }
-    this->close(opened, opened->last);
+    this->close(opened);
 }
 
-// The usual service time leans to the shorter answers, so that slow hosts and spells stay visible against it.
-void entry_task::learn_service(open_call& opened, const answer& ended, instant now) {
-    if (ended.result == outcome::not_run) {
-        const bool for_now = ended.why == reason::would_be_late || ended.why == reason::queue_full ||
-                             ended.why == reason::deadline_too_near || ended.why == reason::backend_slow;
-        if (for_now && this->selection->reconsiders_refusals() && !opened.request.made.last_resort &&
-            !opened.history.tried.empty()) {
-            opened.history.refused.push_back(opened.history.tried.back());
-            opened.history.tried.pop_back();
-        }
+void entry_task::learn_load(const address& owner, const attempt_ended& message, microseconds latency) {
+    const auto view = this->views.find(owner);
+    if (view == this->views.end()) {
         return;
     }
+    const auto now = now_monotonic();
+    if (message.answered) {
+        view->second.on_answer(message.ended, latency, now);
+    } else {
+        view->second.on_silence(now);
+    }
+}
+
+void entry_task::learn_service(const call& made, const address& owner, const answer& ended) {
     if (ended.result != outcome::completed || is_backend_failure(ended)) {
         return;
     }
-    const double host = std::max(1.0, ended.load.slowdown_percent / percent);
-    const double micros = static_cast<double>(ended.service_time.count()) / host;
-    auto& usual = this->usual_micros[opened.request.made.route];
-    const double weight = micros < usual ? falling_weight : rising_weight;
-    usual = usual == 0.0 ? micros : usual + weight * (micros - usual);
-    const auto view = this->views.find(opened.owner);
+    this->usual.learn(made.route, ended.service_time, ended.load.slowdown_percent);
+    const auto view = this->views.find(owner);
     if (view != this->views.end()) {
-        view->second.learn_pace(ended.service_time, this->usual_service(opened.request.made.route),
-                                ended.load.slowdown_percent, now);
+        view->second.learn_pace(ended.service_time, this->usual.of(made.route), ended.load.slowdown_percent,
+                                now_monotonic());
     }
 }
 
-microseconds entry_task::usual_service(const std::string& route) const {
-    const auto found = this->usual_micros.find(route);
-    return found == this->usual_micros.end() ? microseconds::zero()
-                                             : microseconds{static_cast<std::int64_t>(found->second)};
+void entry_task::count_step(const entry_call& life, microseconds latency) {
+    auto& counters = this->context->measured->counters();
+    const auto cause = life.plan().cause();
+    counters.moves += cause == step_cause::moved ? 1 : 0;
+    counters.retries += cause == step_cause::retried ? 1 : 0;
+    counters.retry_budget_spent += cause == step_cause::budget_spent ? 1 : 0;
+    this->context->measured->record_step(
+        {.service = life.made().service, .urgent = life.made().urgent, .step = call_step::attempt}, latency);
 }
 
 void entry_task::handle(const shutdown_started&) {
@@ -245,78 +232,57 @@
 
 void entry_task::open(std::shared_ptr<http_exchange> exchange, accepted_request&& request) {
     const auto now = now_monotonic();
-    const call_plan plan{request.made.idempotent || request.made.key.given(), request.extra_attempts,
-                         this->context->settings.limits.max_moves};
-    const auto deadline = now + request.made.remaining;
-    const auto late_at =
-        request.target_latency > microseconds::zero() ? now + request.target_latency : deadline;
     this->budget_of(request.made, request.retry_percent).count_first_attempt();
-    this->calls.push_back(open_call{.exchange = std::move(exchange),
-                                    .request = std::move(request),
-                                    .plan = plan,
-                                    .started = now,
-                                    .deadline = deadline,
-                                    .late_at = late_at,
-                                    .history = {},
-                                    .attempt = {},
-                                    .owner = {},
-                                    .last = {},
-                                    .expiry = nullptr});
+    this->calls.push_back(
+        open_call{.exchange = std::move(exchange),
+                  .life = entry_call{std::move(request), this->context->settings.limits.max_moves, now},
+                  .expiry = nullptr});
     const auto opened = std::prev(this->calls.end());
     opened->exchange->on_abandoned([this, opened] { this->on_caller_gone(opened); });
     opened->expiry =
         std::make_unique<timer>(*this->context->loop, [this, opened] { this->on_deadline(opened); });
-    opened->expiry->start_once(elapsed(now, deadline));
+    opened->expiry->start_once(elapsed(now, opened->life.deadline()));
     this->try_next(opened);
 }
 
 void entry_task::try_next(call_iterator opened) {
-    const auto& made = opened->request.made;
-    const auto* owner = this->settings->find_team(made.team);
-    const auto* target = owner != nullptr && owner->services.contains(made.service)
-                             ? &owner->services.at(made.service)
+    auto& life = opened->life;
+    const auto* owner = this->settings->find_team(life.made().team);
+    const auto* target = owner != nullptr && owner->services.contains(life.made().service)
+                             ? &owner->services.at(life.made().service)
                              : nullptr;
     const backend_server* server = nullptr;
-    if (target != nullptr && made.key.given() && !made.idempotent) {
-        server = this->choose_key_home(*opened, *owner, *target);
-    } else if (target != nullptr) {
-        server = this->choose(*opened, *owner, *target);
+    if (target != nullptr) {
+        server = life.goes_to_key_home() ? this->choose_key_home(life, *owner, *target)
+                                         : this->choose(life, *owner, *target);
     }
-    if (server != nullptr) {
-        this->send(opened, *server);
+    if (server == nullptr) {
+        this->close(opened);
         return;
     }
-    if (opened->plan.attempts() == 0) {
-        opened->last = refuse({}, outcome::not_run, reason::no_backend_server);
-    }
-    this->close(opened, opened->last);
+    this->send(opened, *server);
 }
 
-const backend_server* entry_task::choose(open_call& opened, const team& owner, const service& target) {
+const backend_server* entry_task::choose(entry_call& life, const team& owner, const service& target) {
     const auto now = now_monotonic();
     const auto candidates = eligible_candidates(
-        this->eligibility_of(owner, target, opened.request.regions), opened.history,
+        this->eligibility_of(owner, target, life.request().regions), life.history(),
         [this](const backend_server& backend) -> const load_view& { return this->view_of(backend); }, now);
     if (candidates.empty()) {
         return nullptr;
     }
-    auto& made = opened.request.made;
-    const auto usual = this->usual_service(made.route);
-    const call_estimate estimate{.service = usual,
-                                 .until_late = std::max(microseconds::zero(), elapsed(now, opened.late_at))};
-    const auto& picked = candidates[this->selection->pick(candidates, estimate, this->random, now)];
-    made.last_resort = candidates.size() == 1 || picked.refused_before;
-    made.usual_service = usual;
+    const auto usual_here = this->usual.of(life.made().route);
+    const auto& picked =
+        candidates[this->selection->pick(candidates, life.estimate(usual_here, now), this->random, now)];
     const auto& server = target.backend_servers[picked.index];
-    opened.history.tried.push_back(server.name);
-    std::erase(opened.history.refused, server.name);
+    life.pick(server.name, candidates.size() == 1 || picked.refused_before, usual_here);
     return &server;
 }
 
-const backend_server* entry_task::choose_key_home(const open_call& opened, const team& owner,
+const backend_server* entry_task::choose_key_home(const entry_call& life, const team& owner,
                                                   const service& target) const {
     const auto candidates = home_candidates(*this->settings, owner, target);
-    const auto home = key_home(candidates, opened.request.regions, scoped_key(opened.request.made).text);
+    const auto home = key_home(candidates, life.request().regions, scoped_key(life.made()).text);
     for (const auto& backend : target.backend_servers) {
         if (home == backend.node) {
             return &backend;
@@ -327,20 +293,14 @@
 
 void entry_task::send(call_iterator opened, const backend_server& backend) {
     const auto now = now_monotonic();
-    auto attempt = opened->request.made;
-    attempt.attempt = {.entry = this->context->incarnation, .sequence = ++this->sequence};
-    attempt.remaining = elapsed(now, opened->deadline);
-    attempt.until_late = std::max(microseconds::zero(), elapsed(now, opened->late_at));
-    attempt.extra_attempts = opened->plan.extra_for_nested();
-    opened->plan.count_attempt();
-    opened->attempt = attempt.attempt;
-    opened->owner = backend.node;
-    opened->sent_at = now;
-    opened->in_progress = true;
-    const auto& view = this->view_of(backend);
+    auto& life = opened->life;
+    auto attempt = life.begin_attempt({.entry = this->context->incarnation, .sequence = ++this->sequence},
+                                      backend.node, now);
+    auto& view = this->view_of(backend);
+    const auto age = view.report_age(now);
     log_call(log_level::info, "attempt_sent",
              {{"request", attempt.request_id},
-              {"attempt", opened->plan.attempts()},
+              {"attempt", life.plan().attempts()},
               {"route", attempt.route},
               {"service", attempt.service},
               {"server", backend.name},
@@ -348,10 +308,10 @@
               {"revision", this->settings->teams.at(attempt.team).revision},
               {"last_resort", attempt.last_resort ? "yes" : "no"},
               {"estimated_calls", view.estimated_calls(now)},
-              {"report_age_us", view.report_age(now).count()},
+              {"report_age_us", age ? std::to_string(age->count()) : "none"},
               {"remaining_us", attempt.remaining.count()}});
     this->attempts.emplace(attempt.attempt, opened);
-    this->view_of(backend).on_sent(now);
+    view.on_sent(now);
     if (backend.node == this->context->settings.reachable_at) {
         this->context->boxes->owner.post(std::move(attempt));
     } else {
@@ -360,77 +320,70 @@
 }
 
 void entry_task::on_deadline(call_iterator opened) {
-    this->give_up_attempt(*opened);
-    this->close(opened, refuse(opened->attempt, outcome::unknown, reason::timed_out));
+    this->give_up_attempt(opened->life);
+    opened->life.end_with(outcome::unknown, reason::timed_out);
+    this->close(opened);
 }
 
 void entry_task::on_caller_gone(call_iterator opened) {
+    auto& life = opened->life;
     log_call(log_level::info, "caller_left",
-             {{"request", opened->request.made.request_id}, {"attempt", opened->plan.attempts()}});
-    this->give_up_attempt(*opened);
-    this->close(opened, refuse(opened->attempt, outcome::unknown, reason::cancelled));
+             {{"request", life.made().request_id}, {"attempt", life.plan().attempts()}});
+    this->give_up_attempt(life);
+    life.end_with(outcome::unknown, reason::cancelled);
+    this->close(opened);
 }
 
-void entry_task::give_up_attempt(open_call& opened) {
-    if (!opened.in_progress) {
+void entry_task::give_up_attempt(entry_call& life) {
+    if (!life.in_progress()) {
         return;
     }
+    const auto attempt = *life.in_progress();
+    life.abandon_attempt();
     const auto now = now_monotonic();
-    this->attempts.erase(opened.attempt);
-    const auto view = this->views.find(opened.owner);
+    this->attempts.erase(attempt.id);
+    const auto view = this->views.find(attempt.owner);
     if (view != this->views.end()) {
-        view->second.on_given_up(elapsed(opened.sent_at, now), now);
+        view->second.on_given_up(elapsed(attempt.sent_at, now), now);
     }
-    if (opened.owner == this->context->settings.reachable_at) {
-        this->context->boxes->owner.post(cancel{opened.attempt});
+    if (attempt.owner == this->context->settings.reachable_at) {
+        this->context->boxes->owner.post(cancel{attempt.id});
     } else {
-        this->context->boxes->links.post(cancel_attempt{opened.owner, opened.attempt});
+        this->context->boxes->links.post(cancel_attempt{attempt.owner, attempt.id});
     }
 }
 
-void entry_task::close(call_iterator opened, const answer& ended) {
-    auto final_answer = ended;
-    if (final_answer.result == outcome::not_run && !this->certainly_not_run(*opened, final_answer)) {
-        final_answer.result = outcome::unknown;
-    }
-    this->respond(*opened, final_answer);
+void entry_task::close(call_iterator opened) {
+    this->respond(*opened);
     this->calls.erase(opened);
 }
 
-// The outcome of a call with a key speaks of the key, so that a caller may act on it: only the key's home
-// can say that no earlier call with the key ran.
-bool entry_task::certainly_not_run(const open_call& opened, const answer& ended) const {
-    const auto& made = opened.request.made;
-    if (made.key.given() && !made.idempotent) {
-        return ended.key_never_ran;
-    }
-    return !opened.may_have_run;
-}
-
-void entry_task::respond(open_call& opened, const answer& ended) {
-    const auto& made = opened.request.made;
+void entry_task::respond(open_call& opened) {
+    const auto& life = opened.life;
+    const auto& made = life.made();
+    auto told = life.final_answer();
+    const auto took = elapsed(life.started(), now_monotonic());
     auto& series = this->context->measured->series(
-        {.team = made.team, .workspace = made.workspace, .urgent = made.urgent});
-    series.latency.record(elapsed(opened.started, now_monotonic()));
-    ++series.outcomes.at(static_cast<std::size_t>(ended.result));
-    series.extra_attempts += std::max(1U, opened.plan.attempts()) - 1;
-    const bool failed = ended.result != outcome::completed || is_backend_failure(ended);
+        {.team = made.team, .service = made.service, .workspace = made.workspace, .urgent = made.urgent});
+    series.latency.record(took);
+    ++series.outcomes.at(static_cast<std::size_t>(told.result));
+    series.extra_attempts += std::max(1U, life.plan().attempts()) - 1;
+    const bool failed = told.result != outcome::completed || is_backend_failure(told);
     log_call(failed ? log_level::warn : log_level::info, "call_ended",
              {{"request", made.request_id},
               {"route", made.route},
               {"service", made.service},
-              {"outcome", to_string(ended.result)},
-              {"reason", to_string(ended.why)},
-              {"status", ended.status},
-              {"server", ended.backend_server},
-              {"attempts", opened.plan.attempts()},
-              {"because", to_string(opened.plan.cause())},
-              {"took_us", elapsed(opened.started, now_monotonic()).count()},
-              {"retry_after_us", opened.retry_after.count()}});
-    auto told = ended;
-    told.retry_after = opened.retry_after;
+              {"outcome", to_string(told.result)},
+              {"reason", to_string(told.why)},
+              {"status", told.status},
+              {"server", told.backend_server},
+              {"attempts", life.plan().attempts()},
+              {"because", to_string(life.plan().cause())},
+              {"took_us", took.count()},
+              {"retry_after_us", life.retry_after().count()}});
+    told.retry_after = life.retry_after();
     opened.exchange->respond(this->context->protocols.callers->respond(
-        told, {.entry_host = this->context->settings.host, .attempts = opened.plan.attempts()}));
+        told, {.entry_host = this->context->settings.host, .attempts = life.plan().attempts()}));
 }
 
 void entry_task::reject(http_exchange& exchange, const request_error& error, const std::string& id) {
@@ -467,6 +420,7 @@
     const auto name = made.team + '/' + (by_fleet ? made.service : made.workspace);
     auto& budget = this->budgets.try_emplace(name, retry_budget{options}).first->second;
     budget.configure(options);
+    this->context->measured->beliefs().retry_budget_left[name] = budget.left();
     return budget;
 }
 
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -1,11 +1,10 @@
 // The entry: takes calls from callers, chooses backend servers, tries again where that is safe, answers.
 #pragma once
 
-#include "chervilturn/call/retry.hpp"
 #include "chervilturn/node/context.hpp"
+#include "chervilturn/node/entry_call.hpp"
 #include "chervilturn/node/messages.hpp"
-#include "chervilturn/node/protocol.hpp"
-#include "chervilturn/selection/policy.hpp"
+#include "chervilturn/selection/usual_times.hpp"
 
 #include <list>
 #include <unordered_map>
@@ -29,19 +28,7 @@
   private:
     struct open_call {
         std::shared_ptr<http_exchange> exchange;
-        accepted_request request;
-        call_plan plan;
-        instant started;
-        instant deadline;
-        instant late_at;      // from then on an answer has lost its full value
-        call_history history; // of the service that the call goes to
-        attempt_id attempt;   // the one in progress
-        address owner;        // of the attempt in progress
-        instant sent_at{};
-        bool in_progress = false;   // whether an attempt is
-        bool may_have_run = false;  // an earlier attempt ended unknown
-        answer last;                // of the latest attempt that ended
-        microseconds retry_after{}; // shortest that a refusing owner told; zero when none did
+        entry_call life;
         std::unique_ptr<timer> expiry;
     };
     using call_iterator = std::list<open_call>::iterator;
@@ -53,22 +40,22 @@
     void handle(const explain_request& request);
 
     void configure_server();
-    void learn_service(open_call& opened, const answer& ended, instant now);
-    [[nodiscard]] microseconds usual_service(const std::string& route) const;
+    void learn_load(const address& owner, const attempt_ended& message, microseconds latency);
+    void learn_service(const call& made, const address& owner, const answer& ended);
+    void count_step(const entry_call& life, microseconds latency);
     [[nodiscard]] bool has_route(const std::string& name) const;
     void on_request(std::shared_ptr<http_exchange> exchange);
     void open(std::shared_ptr<http_exchange> exchange, accepted_request&& request);
     void try_next(call_iterator opened);
-    [[nodiscard]] const backend_server* choose(open_call& opened, const team& owner, const service& target);
-    [[nodiscard]] const backend_server* choose_key_home(const open_call& opened, const team& owner,
+    [[nodiscard]] const backend_server* choose(entry_call& life, const team& owner, const service& target);
+    [[nodiscard]] const backend_server* choose_key_home(const entry_call& life, const team& owner,
                                                         const service& target) const;
     void send(call_iterator opened, const backend_server& server);
     void on_deadline(call_iterator opened);
     void on_caller_gone(call_iterator opened);
-    void give_up_attempt(open_call& opened);
-    void close(call_iterator opened, const answer& ended);
-    [[nodiscard]] bool certainly_not_run(const open_call& opened, const answer& ended) const;
-    void respond(open_call& opened, const answer& ended);
+    void give_up_attempt(entry_call& life);
+    void close(call_iterator opened);
+    void respond(open_call& opened);
     void reject(http_exchange& exchange, const request_error& error, const std::string& id);
     [[nodiscard]] load_view& view_of(const backend_server& server);
     [[nodiscard]] retry_budget& budget_of(const call& made, std::uint32_t retry_percent);
@@ -82,7 +69,7 @@
     random_source random;
     std::map<address, load_view> views;          // by the owner's peer address
     std::map<std::string, retry_budget> budgets; // by "team/workspace", or "team/service"
-    std::map<std::string, double> usual_micros;  // service time by route
+    usual_times usual;                           // service times by route
     std::list<open_call> calls;
     std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts; // in progress
     std::uint64_t sequence = 0;
--- a/src/chervilturn/node/links_task.cpp
+++ b/src/chervilturn/node/links_task.cpp
@@ -321,9 +321,12 @@
 void links_task::check_links() {
     const auto now = now_monotonic();
     std::vector<address> peers;
+    std::uint64_t connected = 0;
     for (const auto& [peer, held] : this->links) {
         peers.push_back(peer);
+        connected += held.introduced() ? 1 : 0;
     }
+    this->context->measured->beliefs().peers_connected = connected;
     for (const auto& peer : peers) {
         const auto found = this->links.find(peer);
         if (found != this->links.end()) {
--- /dev/null
+++ b/src/chervilturn/node/owner_beliefs.cpp
@@ -0,0 +1,68 @@
+// Objections to calls.
+#include "chervilturn/node/owner_beliefs.hpp"
+
+#include "chervilturn/selection/eligibility.hpp"
+
+namespace chervilturn {
+
+bool owner_beliefs::name_server(const std::string& name) {
+    if (name.empty() || name == this->named) {
+        return false;
+    }
+    this->named = name;
+    return true;
+}
+
+owned_place owner_beliefs::place_of(const call& checked) const {
+    owned_place found;
+    found.owner = this->settings->find_team(checked.team);
+    if (found.owner == nullptr) {
+        return found;
+    }
+    const auto target = found.owner->services.find(checked.service);
+    if (target == found.owner->services.end()) {
+        return found;
+    }
+    found.target = &target->second;
+    for (const auto& server : found.target->backend_servers) {
+        const bool is_here = server.node == this->here->reachable_at;
+        if (is_here && (found.server == nullptr || server.name == this->named)) {
+            found.server = &server;
+        }
+    }
+    return found;
+}
+
+reason owner_beliefs::objection_to(const call& checked) const {
+    if (this->stopping) {
+        return reason::shutting_down;
+    }
+    if (this->doubted) {
+        return reason::beliefs_unconfirmed;
+    }
+    const auto place = this->place_of(checked);
+    if (place.server == nullptr) {
+        return reason::not_the_owner;
+    }
+    const eligibility_request request{.settings = this->settings.get(),
+                                      .owner = place.owner,
+                                      .target = place.target,
+                                      .regions = home_regions_of(*place.owner, checked),
+                                      .entry_data_centre = this->here->data_centre};
+    return exclusion_of(request, *place.server);
+}
+
+region_set home_regions_of(const team& owner, const call& checked) {
+    region_set regions;
+    const auto customer = owner.workspaces.find(checked.workspace);
+    if (customer != owner.workspaces.end()) {
+        regions = customer->second.home_regions;
+    }
+    const auto matched = owner.routes.find(checked.route);
+    if (matched != owner.routes.end()) {
+        regions = common_regions(regions, matched->second.home_regions);
+    }
+    return regions;
+}
+
+} // namespace chervilturn
--- /dev/null
+++ b/src/chervilturn/node/owner_beliefs.hpp
@@ -0,0 +1,54 @@
+// What the owner holds to be true, and what that forbids.
+#pragma once
+
+#include "chervilturn/call/call.hpp"
+#include "chervilturn/config/model.hpp"
+#include "chervilturn/config/node_settings.hpp"
+
+#include <memory>
+#include <string>
+
+namespace chervilturn {
+
+/// @brief Where settings see a call at this owner; null as far as they know nothing of it.
+struct owned_place {
+    const team* owner = nullptr;
+    const service* target = nullptr;
+    const backend_server* server = nullptr;
+};
+
+/// @brief Settings, the name of the backend server, doubts, and whether the node stops.
+class owner_beliefs {
+  public:
+    explicit owner_beliefs(const node_settings& node) : here{&node} {}
+
+    void accept(std::shared_ptr<const model> changed) noexcept { this->settings = std::move(changed); }
+    void doubt() noexcept { this->doubted = true; }
+    void confirm() noexcept { this->doubted = false; }
+    void stop() noexcept { this->stopping = true; }
+
+    /// @brief The backend server told its name; whether it is another one than before.
+    [[nodiscard]] bool name_server(const std::string& name);
+
+    [[nodiscard]] const model& in_force() const noexcept { return *this->settings; }
+    [[nodiscard]] bool in_doubt() const noexcept { return this->doubted; }
+    [[nodiscard]] bool stops() const noexcept { return this->stopping; }
+    [[nodiscard]] const std::string& server_name() const noexcept { return this->named; }
+
+    [[nodiscard]] owned_place place_of(const call& checked) const;
+
+    /// @brief Everything that forbids to run a call here and now; checked on arrival and before dispatch.
+    [[nodiscard]] reason objection_to(const call& checked) const;
+
+  private:
+    const node_settings* here; // outlives this
+    std::shared_ptr<const model> settings = std::make_shared<const model>();
+    bool doubted = true; // nothing is dispatched while in doubt
+    bool stopping = false;
+    std::string named; // the backend server, as it said itself; empty before
+};
+
+/// @brief Where a call may be served, by its workspace and route; empty for everywhere.
+[[nodiscard]] region_set home_regions_of(const team& owner, const call& checked);
+
+} // namespace chervilturn
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -2,7 +2,6 @@
 #include "chervilturn/node/owner_task.hpp"
 
 #include "chervilturn/observe/log.hpp"
-#include "chervilturn/selection/eligibility.hpp"
 
 #include <algorithm>
 
@@ -15,19 +14,6 @@
 constexpr std::int64_t margin_share = 10; // the margin takes at most this part of the remaining time
 constexpr microseconds long_pause = std::chrono::seconds{19}; // settings may have moved keys away and back
 
-[[nodiscard]] region_set regions_of(const team& owner, const call& checked) {
-    region_set regions;
-    const auto customer = owner.workspaces.find(checked.workspace);
-    if (customer != owner.workspaces.end()) {
-        regions = customer->second.home_regions;
-    }
-    const auto matched = owner.routes.find(checked.route);
-    if (matched != owner.routes.end()) {
-        regions = common_regions(regions, matched->second.home_regions);
-    }
-    return regions;
-}
-
 // The owner gives up a little earlier than the entry, so that its word on the outcome arrives in time.
 [[nodiscard]] instant owner_deadline(instant now, microseconds remaining) {
     return now + remaining - std::min(reply_margin, remaining / margin_share);
@@ -40,11 +26,11 @@
 } // namespace
 
 owner_task::owner_task(const node_context& shared)
-    : context{&shared}, gate{door_options{}, now_monotonic()}, attempts{attempt_record_options{}},
-      keys{shared,
-           [this](call&& received, const key_decision& decision) {
-               this->on_key_settled(std::move(received), decision);
-           }},
+    : context{&shared}, beliefs{shared.settings}, gate{door_options{}, now_monotonic()},
+      attempts{attempt_record_options{}}, keys{shared,
+                                               [this](call&& received, const key_decision& decision) {
+                                                   this->on_key_settled(std::move(received), decision);
+                                               }},
       backend{shared, this->gate}, pauses{now_monotonic()}, tick{*shared.loop, [this] { this->advance(); }},
       probe{shared, this->backend.http(), this->gate.backend(),
             [this](const probe_report& report) { this->on_probed(report); }} {
@@ -57,23 +43,23 @@
 }
 
 void owner_task::handle(const settings_changed& message) {
-    this->settings = message.settings;
-    this->keys.observe(*this->settings);
+    this->beliefs.accept(message.settings);
+    this->keys.observe(*message.settings);
     this->configure_door();
     this->recheck_waiting();
 }
 
 void owner_task::handle(const beliefs_doubted&) {
-    this->beliefs_in_doubt = true;
+    this->beliefs.doubt();
     this->refuse_waiting(reason::beliefs_unconfirmed);
 }
 
 void owner_task::handle(const beliefs_confirmed&) {
-    this->beliefs_in_doubt = false;
+    this->beliefs.confirm();
 }
 
 void owner_task::handle(const shutdown_started&) {
-    this->shutting_down = true;
+    this->beliefs.stop();
     this->refuse_waiting(reason::shutting_down);
 }
 
@@ -82,13 +68,13 @@
         return;
     }
     this->attempts.begin(received.attempt, now_monotonic() + received.remaining);
-    const auto objection = this->objection_to(received);
+    const auto objection = this->beliefs.objection_to(received);
     if (objection != reason::none) {
         log_call(log_level::info, "call_refused",
                  {{"request", received.request_id},
                   {"entry", received.attempt.entry},
                   {"reason", to_string(objection)},
-                  {"settings_in_doubt", this->beliefs_in_doubt ? "yes" : "no"}});
+                  {"settings_in_doubt", this->beliefs.in_doubt() ? "yes" : "no"}});
         this->reply(refuse(received.attempt, outcome::not_run, objection));
         return;
     }
@@ -96,9 +82,9 @@
         this->admit(std::move(received));
         return;
     }
-    const auto here = this->place_of(received);
-    const auto regions = regions_of(*here.owner, received);
-    const auto home = key_home(home_candidates(*this->settings, *here.owner, *here.target), regions,
+    const auto here = this->beliefs.place_of(received);
+    const auto regions = home_regions_of(*here.owner, received);
+    const auto home = key_home(home_candidates(this->beliefs.in_force(), *here.owner, *here.target), regions,
                                scoped_key(received).text);
     if (home != this->context->settings.reachable_at) {
         this->reply(refuse(received.attempt, outcome::not_run, reason::not_the_key_home));
@@ -163,8 +149,8 @@
                    {"normal_service_time_us", this->gate.backend().normal_service_time().count()},
                    {"recorded_keys", this->keys.recorded_keys()},
                    {"recorded_attempts", this->attempts.size()},
-                   {"beliefs_in_doubt", this->beliefs_in_doubt},
-                   {"shutting_down", this->shutting_down}});
+                   {"beliefs_in_doubt", this->beliefs.in_doubt()},
+                   {"shutting_down", this->beliefs.stops()}});
 }
 
 // A pause is noticed at the first event after it, before that event's call can be dispatched.
@@ -183,46 +169,6 @@
     this->context->boxes->control.post(beliefs_doubted{});
 }
 
-owner_task::place owner_task::place_of(const call& checked) const {
-    place found;
-    found.owner = this->settings->find_team(checked.team);
-    if (found.owner == nullptr) {
-        return found;
-    }
-    const auto target = found.owner->services.find(checked.service);
-    if (target == found.owner->services.end()) {
-        return found;
-    }
-    found.target = &target->second;
-    for (const auto& server : found.target->backend_servers) {
-        const bool here = server.node == this->context->settings.reachable_at;
-        if (here && (found.server == nullptr || server.name == this->server_name)) {
-            found.server = &server;
-        }
-    }
-    return found;
-}
-
-// Everything that forbids to run a call here and now; checked on arrival and again before dispatch.
-reason owner_task::objection_to(const call& checked) const {
-    if (this->shutting_down) {
-        return reason::shutting_down;
-    }
-    if (this->beliefs_in_doubt) {
-        return reason::beliefs_unconfirmed;
-    }
-    const auto here = this->place_of(checked);
-    if (here.server == nullptr) {
-        return reason::not_the_owner;
-    }
-    const eligibility_request request{.settings = this->settings.get(),
-                                      .owner = here.owner,
-                                      .target = here.target,
-                                      .regions = regions_of(*here.owner, checked),
-                                      .entry_data_centre = this->context->settings.data_centre};
-    return exclusion_of(request, *here.server);
-}
-
 bool owner_task::repeat_known(const call& received) {
     switch (this->attempts.state_of(received.attempt)) {
     case attempt_state::absent:
@@ -274,12 +220,12 @@
 void owner_task::admit(call&& received) {
     const auto now = now_monotonic();
     const auto attempt = received.attempt;
-    const auto objection = this->objection_to(received);
+    const auto objection = this->beliefs.objection_to(received);
     if (objection != reason::none) {
         this->reply(refuse(attempt, outcome::not_run, objection));
         return;
     }
-    const auto here = this->place_of(received);
+    const auto here = this->beliefs.place_of(received);
     const auto customer = here.owner->workspaces.find(received.workspace);
     const queue_entry wanted{.attempt = attempt,
                              .workspace = received.team + '/' + received.workspace,
@@ -304,8 +250,11 @@
         this->keys.begin(received);
         this->key_carriers[scoped_key(received).text] = attempt;
     }
-    owned_call owned{
-        .received = std::move(received), .deadline = wanted.deadline, .running_call = {}, .repeats = {}};
+    owned_call owned{.received = std::move(received),
+                     .admitted = now,
+                     .deadline = wanted.deadline,
+                     .running_call = {},
+                     .repeats = {}};
     this->calls.emplace(attempt, std::move(owned));
     if (const auto* waiting = std::get_if<queued>(&admitted)) {
         if (waiting->displaced) {
@@ -335,22 +284,39 @@
               {"remaining_us", received.remaining.count()}});
 }
 
+// A call that was admitted or waited, and is refused after all.
+void owner_task::log_withdrawal(const call& received, reason why) const {
+    const auto load = this->gate.report();
+    log_call(log_level::info, "call_refused",
+             {{"request", received.request_id},
+              {"entry", received.attempt.entry},
+              {"reason", to_string(why)},
+              {"after", "waiting"},
+              {"in_use", load.in_use},
+              {"queued", load.queued},
+              {"limit", load.limit},
+              {"slowdown_percent", load.slowdown_percent}});
+}
+
 // The last check before a call may run.
 void owner_task::dispatch(const attempt_id& attempt) {
     auto& owned = this->calls.at(attempt);
     const auto now = now_monotonic();
-    const auto objection = this->objection_to(owned.received);
+    const auto objection = this->beliefs.objection_to(owned.received);
     if (objection != reason::none || owned.deadline <= now) {
         this->gate.release(attempt);
         const auto why = objection != reason::none ? objection : reason::deadline_too_near;
         this->finish(refuse(attempt, outcome::not_run, why));
         return;
     }
+    this->context->measured->record_step(
+        {.service = owned.received.service, .urgent = owned.received.urgent, .step = call_step::queue},
+        elapsed(owned.admitted, now));
     owned.running = true;
     owned.running_call =
         this->backend.run({.sent = &owned.received,
                            .remaining = elapsed(now, owned.deadline),
-                           .server_name = this->place_of(owned.received).server->name},
+                           .server_name = this->beliefs.place_of(owned.received).server->name},
                           [this](answer ended) { this->on_backend_answer(std::move(ended)); });
 }
 
@@ -366,7 +332,11 @@
               {"reason", to_string(ended.why)},
               {"status", ended.status},
               {"service_us", ended.service_time.count()}});
-    const auto* server = this->place_of(found->second.received).server;
+    const auto& received = found->second.received;
+    this->context->measured->record_step(
+        {.service = received.service, .urgent = received.urgent, .step = call_step::backend_server},
+        ended.service_time);
+    const auto* server = this->beliefs.place_of(received).server;
     ended.backend_server = server == nullptr ? std::string{} : server->name;
     this->finish(std::move(ended));
     this->advance();
@@ -374,16 +344,16 @@
 
 void owner_task::on_probed(const probe_report& report) {
     const auto now = now_monotonic();
-    if (!report.server_name.empty() && report.server_name != this->server_name) {
+    const auto before = this->beliefs.server_name();
+    if (this->beliefs.name_server(report.server_name)) {
         log_event(log_level::info, "backend_server_named",
-                  {{"name", report.server_name}, {"before", this->server_name}});
-        this->server_name = report.server_name;
+                  {{"name", report.server_name}, {"before", before}});
         this->gate.cold().presume_cold(now);
     }
     if (report.cold_left) {
         if (this->gate.cold().cold(now) != (*report.cold_left > microseconds::zero())) {
             log_event(log_level::info, "backend_server_cold",
-                      {{"server", this->server_name}, {"cold_left_us", report.cold_left->count()}});
+                      {{"server", this->beliefs.server_name()}, {"cold_left_us", report.cold_left->count()}});
         }
         this->gate.cold().on_told(*report.cold_left, now);
     }
@@ -402,7 +372,7 @@
 void owner_task::recheck_waiting() {
     std::vector<answer> refusals;
     for (const auto& [attempt, owned] : this->calls) {
-        const auto objection = owned.running ? reason::none : this->objection_to(owned.received);
+        const auto objection = owned.running ? reason::none : this->beliefs.objection_to(owned.received);
         if (objection != reason::none) {
             refusals.push_back(refuse(attempt, outcome::not_run, objection));
         }
@@ -421,6 +391,9 @@
     }
     const auto owned = std::move(found->second);
     this->calls.erase(found);
+    if (!owned.running) {
+        this->log_withdrawal(owned.received, ended.why);
+    }
     if (needs_key_settled(owned.received)) {
         this->key_carriers.erase(scoped_key(owned.received).text);
         this->keys.finish(owned.received, ended);
@@ -463,10 +436,20 @@
     }
     this->attempts.expire(now);
     this->keys.check_overdue(now);
+    this->show_beliefs(now);
+}
+
+void owner_task::show_beliefs(instant now) {
+    const auto load = this->gate.report();
+    auto& shown = this->context->measured->beliefs();
+    shown.door_limit = load.limit;
+    shown.door_in_use = load.in_use;
+    shown.door_queued = load.queued;
+    shown.backend_server_cold = this->gate.cold().cold(now);
 }
 
 void owner_task::configure_door() {
-    for (const auto& [team_name, owner] : this->settings->teams) {
+    for (const auto& [team_name, owner] : this->beliefs.in_force().teams) {
         for (const auto& [service_name, target] : owner.services) {
             for (const auto& server : target.backend_servers) {
                 if (server.node != this->context->settings.reachable_at) {
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -9,6 +9,7 @@
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/key_desk.hpp"
 #include "chervilturn/node/messages.hpp"
+#include "chervilturn/node/owner_beliefs.hpp"
 
 #include <unordered_map>
 
@@ -25,18 +26,13 @@
   private:
     struct owned_call {
         call received;
+        instant admitted;
         instant deadline;
         bool running = false;
         backend_caller::running_call running_call; // while running
         std::vector<attempt_id> repeats;           // attempts with the same idempotency key
     };
 
-    struct place {
-        const team* owner = nullptr;
-        const service* target = nullptr;
-        const backend_server* server = nullptr;
-    };
-
     void handle(const settings_changed& message);
     void handle(const beliefs_doubted& message);
     void handle(const beliefs_confirmed& message);
@@ -49,13 +45,12 @@
     void handle(const describe_request& request);
 
     void watch_for_pause();
-    [[nodiscard]] place place_of(const call& checked) const;
-    [[nodiscard]] reason objection_to(const call& checked) const;
     [[nodiscard]] bool repeat_known(const call& received);
     void on_key_settled(call&& received, const key_decision& decision);
     void join_repeat(const call& received);
     void admit(call&& received);
     void log_admission(const call& received, const admission& admitted) const;
+    void log_withdrawal(const call& received, reason why) const;
     void dispatch(const attempt_id& attempt);
     void on_backend_answer(answer ended);
     void on_probed(const probe_report& report);
@@ -64,10 +59,11 @@
     void finish(answer ended);
     void reply(answer ended);
     void advance();
+    void show_beliefs(instant now);
     void configure_door();
 
     const node_context* context;
-    std::shared_ptr<const model> settings = std::make_shared<const model>();
+    owner_beliefs beliefs;
     door gate;
     attempt_record attempts;
     key_desk keys;
@@ -75,9 +71,6 @@
     std::unordered_map<std::string, attempt_id> key_carriers; // attempt in progress of each key
     backend_caller backend;
     pause_detector pauses;
-    bool beliefs_in_doubt = true; // nothing is dispatched while in doubt
-    bool shutting_down = false;
-    std::string server_name; // of the backend server, as it said itself; empty before
     timer tick;
     backend_probe probe;
 };
--- a/src/chervilturn/observe/fwd.hpp
+++ b/src/chervilturn/observe/fwd.hpp
@@ -8,6 +8,10 @@
 class log_buffer;
 class latency_histogram;
 struct call_series;
+struct step_key;
+struct belief_gauges;
 class metrics;
+struct log_line;
+class request_trace;
 
 } // namespace chervilturn
--- a/src/chervilturn/observe/metrics.cpp
+++ b/src/chervilturn/observe/metrics.cpp
@@ -49,9 +49,21 @@
     write_sample(text, name, "", static_cast<double>(value));
 }
 
+void write_gauge(std::string& text, const std::string& name, double value) {
+    write_type(text, name, "gauge");
+    write_sample(text, name, "", value);
+}
+
+[[nodiscard]] std::string labels_of(const step_key& key) {
+    return "service=\"" + escape_label(key.service) + "\",class=\"" + (key.urgent ? "urgent" : "normal") +
+           "\",step=\"" + to_string(key.step) + '"';
+}
+
 [[nodiscard]] std::string labels_of(const series_key& key) {
     std::string labels = "team=\"";
     labels += escape_label(key.team);
+    labels += "\",service=\"";
+    labels += escape_label(key.service);
     labels += "\",workspace=\"";
     labels += escape_label(key.workspace);
     labels += "\",class=\"";
@@ -61,6 +73,11 @@
 
 } // namespace
 
+const char* to_string(call_step step) noexcept {
+    static constexpr std::array<const char*, 3> names{"queue", "backend_server", "attempt"};
+    return names.at(static_cast<std::size_t>(step));
+}
+
 struct latency_histogram::storage {
     histogram values = bh::make_histogram(log_axis{bins, lowest_micros, highest_micros, "latency"});
 };
@@ -115,13 +132,27 @@
         return found->second;
     }
     if (this->calls.size() >= max_series) {
-        return this->calls[series_key{.team = "(other)", .workspace = "(other)", .urgent = key.urgent}];
+        return this->calls[series_key{
+            .team = "(other)", .service = "(other)", .workspace = "(other)", .urgent = key.urgent}];
     }
     return this->calls[key];
 }
 
+void metrics::record_step(const step_key& key, microseconds took) {
+    const bool room = this->steps.size() < max_series || this->steps.contains(key);
+    const step_key kept{room ? key.service : "(other)", key.urgent, key.step};
+    this->steps[kept].record(took);
+}
+
 std::string metrics::text() const {
     std::string text;
+    this->write_calls(text);
+    this->write_counters(text);
+    this->write_beliefs(text);
+    return text;
+}
+
+void metrics::write_calls(std::string& text) const {
     write_type(text, "call_latency_seconds", "histogram");
     for (const auto& [key, series] : this->calls) {
         series.latency.write(text, "call_latency_seconds", labels_of(key));
@@ -139,6 +170,13 @@
         write_sample(text, "extra_attempts_total", labels_of(key),
                      static_cast<double>(series.extra_attempts));
     }
+    write_type(text, "step_latency_seconds", "histogram");
+    for (const auto& [key, latency] : this->steps) {
+        latency.write(text, "step_latency_seconds", labels_of(key));
+    }
+}
+
+void metrics::write_counters(std::string& text) const {
     write_type(text, "refusals_total", "counter");
     for (std::size_t index = 1; index < reason_count; ++index) {
         const auto name = std::string{to_string(static_cast<reason>(index))};
@@ -164,7 +202,25 @@
     write_counter(text, "retries_total", this->totals.retries);
     write_counter(text, "retry_budget_spent_total", this->totals.retry_budget_spent);
     write_counter(text, "log_lines_left_out_total", log_lines_left_out());
-    return text;
+}
+
+void metrics::write_beliefs(std::string& text) const {
+    const auto& now = this->believed;
+    write_gauge(text, "settings_revision", static_cast<double>(now.settings_revision));
+    if (now.settings_confirmed_at != instant{}) {
+        write_gauge(text, "settings_age_seconds",
+                    to_seconds(monotonic_clock::now() - now.settings_confirmed_at));
+    }
+    write_gauge(text, "settings_followers", static_cast<double>(now.followers));
+    write_gauge(text, "peers_connected", static_cast<double>(now.peers_connected));
+    write_gauge(text, "door_limit", static_cast<double>(now.door_limit));
+    write_gauge(text, "door_in_use", static_cast<double>(now.door_in_use));
+    write_gauge(text, "door_queued", static_cast<double>(now.door_queued));
+    write_gauge(text, "backend_server_cold", now.backend_server_cold ? 1.0 : 0.0);
+    write_type(text, "retry_budget_left", "gauge");
+    for (const auto& [name, left] : now.retry_budget_left) {
+        write_sample(text, "retry_budget_left", "budget=\"" + escape_label(name) + '"', left);
+    }
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/observe/metrics.hpp
+++ b/src/chervilturn/observe/metrics.hpp
@@ -38,22 +38,55 @@
     double sum_seconds = 0.0;
 };
 
-/// @brief Calls are counted apart by workspace and class.
+/// @brief Calls are counted apart by service, workspace and class.
 struct series_key {
     std::string team;
+    std::string service;
     std::string workspace;
     bool urgent = false;
 
     auto operator<=>(const series_key&) const = default;
 };
 
-/// @brief Latency and outcomes of one workspace and class.
+/// @brief Latency and outcomes of one service, workspace and class.
 struct call_series {
     latency_histogram latency;
     std::array<std::uint64_t, 3> outcomes{}; // by outcome
     std::uint64_t extra_attempts = 0;
 };
 
+/// @brief A part of a call's way that is timed on its own.
+enum class call_step {
+    queue,          // at the owner, from admission to dispatch
+    backend_server, // from dispatch to the end of its answer
+    attempt         // at the entry, from sending to the owner's word: both of these and the way
+};
+
+/// @brief The name of a step in metrics.
+[[nodiscard]] const char* to_string(call_step step) noexcept;
+
+/// @brief Steps are timed apart by service and class.
+struct step_key {
+    std::string service;
+    bool urgent = false;
+    call_step step = call_step::queue;
+
+    auto operator<=>(const step_key&) const = default;
+};
+
+/// @brief What a node believes at present.
+struct belief_gauges {
+    std::uint64_t settings_revision = 0; // newest in force
+    instant settings_confirmed_at{};     // when the platform or a peer last had nothing newer; epoch: never
+    std::uint64_t followers = 0;         // nodes that take settings from this one
+    std::uint64_t peers_connected = 0;
+    std::uint64_t door_limit = 0; // calls that the backend server beside this node may have
+    std::uint64_t door_in_use = 0;
+    std::uint64_t door_queued = 0;
+    bool backend_server_cold = false;
+    std::map<std::string, double> retry_budget_left; // repeats, by budget
+};
+
 /// @brief Counters of one node that are not tied to a workspace.
 struct node_counters {
     std::array<std::uint64_t, reason_count> refusals{}; // by reason
@@ -77,14 +110,19 @@
     std::uint64_t retry_budget_spent = 0; // repeats that a budget did not allow
 };
 
-/// @brief All metrics of one node. The number of series is bounded; further workspaces share one.
+/// @brief All metrics of one node. The number of series is bounded; further ones share one.
 class metrics {
   public:
     static constexpr std::size_t max_series = 512;
 
-    /// @brief The series of a workspace and class.
+    /// @brief The series of a service, workspace and class.
     [[nodiscard]] call_series& series(const series_key& key);
 
+    /// @brief Records how long a step of a call took.
+    void record_step(const step_key& key, microseconds took);
+
+    [[nodiscard]] belief_gauges& beliefs() noexcept { return this->believed; }
+
     [[nodiscard]] node_counters& counters() noexcept { return this->totals; }
     [[nodiscard]] const node_counters& counters() const noexcept { return this->totals; }
     [[nodiscard]] const std::map<series_key, call_series>& all_series() const noexcept { return this->calls; }
@@ -93,8 +131,14 @@
     [[nodiscard]] std::string text() const;
 
   private:
+    void write_calls(std::string& text) const;
+    void write_counters(std::string& text) const;
+    void write_beliefs(std::string& text) const;
+
     std::map<series_key, call_series> calls;
+    std::map<step_key, latency_histogram> steps;
     node_counters totals;
+    belief_gauges believed;
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/selection/fwd.hpp
+++ b/src/chervilturn/selection/fwd.hpp
@@ -7,5 +7,6 @@
 struct candidate;
 class policy;
 struct eligibility_request;
+class usual_times;
 
 } // namespace chervilturn
--- a/src/chervilturn/selection/load_view.hpp
+++ b/src/chervilturn/selection/load_view.hpp
@@ -4,6 +4,8 @@
 #include "chervilturn/call/call.hpp"
 #include "chervilturn/core/time.hpp"
 
+#include <optional>
+
 namespace chervilturn {
 
 /// @brief Knowledge of one backend server at one entry.
@@ -36,9 +38,9 @@
     /// @brief Calls that the backend server bears at once, by the last report.
     [[nodiscard]] double limit(instant now) const noexcept;
 
-    /// @brief How long ago the owner reported; meaningless before its first report.
-    [[nodiscard]] microseconds report_age(instant now) const noexcept {
-        return elapsed(this->reported_at, now);
+    /// @brief How long ago the owner reported; nothing before its first report.
+    [[nodiscard]] std::optional<microseconds> report_age(instant now) const noexcept {
+        return this->reported_at == instant{} ? std::nullopt : std::optional{elapsed(this->reported_at, now)};
     }
 
     /// @brief Smoothed latency; it forgets a slow spell with time, so that the server is tried again.
