--- a/stand_ins/relay.hpp
+++ b/stand_ins/relay.hpp
@@ -5,6 +5,8 @@
 #include "chervilturn/transport/event_loop.hpp"
 #include "chervilturn/transport/socket_address.hpp"
 
+#include <algorithm>
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -19,13 +21,70 @@
 
 class relay_stand_in;
 
+/// @brief Bytes on their way in one direction. They never overtake each other, also when the delay changes.
+class delayed_way {
+  public:
+    explicit delayed_way(event_loop& loop) : due{loop, [this] { this->deliver(); }} {}
+
+    void open(bufferevent* from, bufferevent* to) {
+        this->source = from;
+        this->target = to;
+    }
+
+    void forward(microseconds delay) {
+        auto* input = bufferevent_get_input(this->source);
+        if (delay == microseconds::zero() && this->held.empty()) {
+            bufferevent_write_buffer(this->target, input);
+            return;
+        }
+        std::string bytes(evbuffer_get_length(input), '\0');
+        if (bytes.empty()) {
+            return;
+        }
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        const auto now = monotonic_clock::now();
+        const auto earliest = this->held.empty() ? now : this->held.back().at;
+        this->held.push_back({std::max(earliest, now + delay), std::move(bytes)});
+        this->wait();
+    }
+
+  private:
+    struct part {
+        instant at;
+        std::string bytes;
+    };
+
+    void wait() {
+        const auto left = elapsed(monotonic_clock::now(), this->held.front().at);
+        this->due.start_once(std::max(left, microseconds::zero()));
+    }
+
+    void deliver() {
+        while (!this->held.empty() && this->held.front().at <= monotonic_clock::now()) {
+            const auto& bytes = this->held.front().bytes;
+            bufferevent_write(this->target, bytes.data(), bytes.size());
+            this->held.pop_front();
+        }
+        if (!this->held.empty()) {
+            this->wait();
+        }
+    }
+
+    bufferevent* source = nullptr;
+    bufferevent* target = nullptr;
+    std::deque<part> held;
+    timer due;
+};
+
 struct relayed {
     relay_stand_in* owner = nullptr;
     bufferevent* inner = nullptr; // towards the side that connected
     bufferevent* outer = nullptr; // towards the target
+    delayed_way inward;           // from the side that connected
+    delayed_way outward;
     bool frozen = false;
 
-    relayed() = default;
+    explicit relayed(event_loop& loop) : inward{loop}, outward{loop} {}
     relayed(const relayed&) = delete;
     relayed& operator=(const relayed&) = delete;
     ~relayed() {
@@ -81,11 +140,13 @@
         }
         const int enabled = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-        auto made = std::make_shared<relayed>();
+        auto made = std::make_shared<relayed>(*this->loop);
         made->owner = this;
         made->frozen = this->mode == "freeze_all";
         made->inner = bufferevent_socket_new(this->loop->base(), socket, BEV_OPT_CLOSE_ON_FREE);
         made->outer = bufferevent_socket_new(this->loop->base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        made->inward.open(made->inner, made->outer);
+        made->outward.open(made->outer, made->inner);
         for (auto* side : {made->inner, made->outer}) {
             bufferevent_setcb(side, on_read, nullptr, on_event, made.get());
             bufferevent_enable(side, EV_READ | EV_WRITE);
@@ -96,45 +157,10 @@
     }
 
     void forward(relayed& pair) {
-        const bool held = this->mode == "one_way";
-        if (this->delay.count() == 0) {
-            if (!held) {
-                bufferevent_write_buffer(pair.outer, bufferevent_get_input(pair.inner));
-            }
-            bufferevent_write_buffer(pair.inner, bufferevent_get_input(pair.outer));
-            return;
-        }
-        if (!held) {
-            this->forward_later(pair, pair.inner, pair.outer);
-        }
-        this->forward_later(pair, pair.outer, pair.inner);
-    }
-
-    void forward_later(relayed& pair, bufferevent* from, bufferevent* to) {
-        auto* input = bufferevent_get_input(from);
-        auto bytes = std::make_shared<std::string>(evbuffer_get_length(input), '\0');
-        if (bytes->empty()) {
-            return;
-        }
-        evbuffer_remove(input, bytes->data(), bytes->size());
-        const std::weak_ptr<relayed> held = this->find(pair);
-        auto later = std::make_shared<std::unique_ptr<timer>>();
-        *later = std::make_unique<timer>(*this->loop, [held, to, bytes, later] {
-            const auto keep = std::move(*later);
-            if (held.lock()) {
-                bufferevent_write(to, bytes->data(), bytes->size());
-            }
-        });
-        (*later)->start_once(this->delay);
-    }
-
-    [[nodiscard]] std::shared_ptr<relayed> find(const relayed& wanted) const {
-        for (const auto& pair : this->pairs) {
-            if (pair.get() == &wanted) {
-                return pair;
-            }
+        if (this->mode != "one_way") {
+            pair.inward.forward(this->delay);
         }
-        return nullptr;
+        pair.outward.forward(this->delay);
     }
 
     static void on_read(bufferevent*, void* self) {
