--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -8,5 +8,6 @@
 class removal_hold;
 struct connection_options;
 class connection_health;
+class seed_rotation;
 
 } // namespace chervilturn
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -11,10 +11,10 @@
 
 constexpr microseconds anti_entropy_period = std::chrono::seconds{5};
 constexpr microseconds doubt_patience = std::chrono::seconds{1};
-constexpr microseconds seed_retry_period = std::chrono::seconds{1}; // while nothing is accepted
+constexpr microseconds seed_retry_period = std::chrono::milliseconds{100}; // while nothing is accepted
 constexpr microseconds earliest_own_start =
-    std::chrono::milliseconds{500}; // of reading, when seeds do not help
-constexpr microseconds latest_own_start = std::chrono::seconds{2};
+    std::chrono::milliseconds{200}; // of reading, when seeds do not help
+constexpr microseconds latest_own_start = std::chrono::milliseconds{800};
 constexpr microseconds reader_start_spread = std::chrono::milliseconds{20};
 constexpr microseconds stand_in_start_spread = std::chrono::seconds{3}; // readers for want of a parent
 constexpr microseconds longest_follow_delay = std::chrono::milliseconds{500};
@@ -25,6 +25,7 @@
 
 control_task::control_task(const node_context& shared)
     : context{&shared}, random{shared.incarnation},
+      seeds{shared.settings.seeds, shared.settings.reachable_at, shared.incarnation},
       reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings),
              [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
       anti_entropy{*shared.loop, [this] { this->ask_random_peer(); }}, own_start{*shared.loop,
@@ -40,9 +41,9 @@
 }
 
 void control_task::start() {
-    const auto& seeds = this->context->settings.seeds;
+    const auto& listed = this->context->settings.seeds;
     const auto& self = this->context->settings.reachable_at;
-    if (seeds.empty() || std::find(seeds.begin(), seeds.end(), self) != seeds.end()) {
+    if (listed.empty() || std::find(listed.begin(), listed.end(), self) != listed.end()) {
         this->reader.activate(reader_start_spread);
     } else {
         // A fleet that starts together must not read everything from the platform at once.
@@ -265,19 +266,17 @@
         this->seed_retry.stop();
         return;
     }
-    this->ask_seeds();
+    this->ask_next_seed();
 }
 
-void control_task::ask_seeds() {
-    for (const auto& seed : this->context->settings.seeds) {
-        if (seed != this->context->settings.reachable_at) {
-            this->ask_once(seed);
-        }
+void control_task::ask_next_seed() {
+    if (const auto seed = this->seeds.next()) {
+        this->ask_once(*seed);
     }
 }
 
 void control_task::ask_for_confirmation() {
-    this->ask_seeds();
+    this->ask_next_seed();
     for (std::size_t asked = 0; asked < asked_in_doubt; ++asked) {
         this->ask_random_peer();
     }
--- a/src/chervilturn/node/control_task.hpp
+++ b/src/chervilturn/node/control_task.hpp
@@ -3,6 +3,7 @@
 
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/membership/relay_tree.hpp"
+#include "chervilturn/membership/seed_rotation.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/messages.hpp"
 #include "chervilturn/node/settings_reader.hpp"
@@ -45,7 +46,7 @@
     void doubt();
     void read_if_ignorant();
     void ask_seeds_if_ignorant();
-    void ask_seeds();
+    void ask_next_seed();
     void ask_for_confirmation();
     void confirm(const char* by);
     [[nodiscard]] std::optional<address> random_host();
@@ -59,6 +60,7 @@
     bool parent_heard = false;                       // since it is followed
     std::map<std::uint64_t, subscriber> subscribers; // by number of the connection
     random_source random;
+    seed_rotation seeds;
     std::uint64_t nonces = 0;
     std::uint64_t doubt_nonce = 0; // replies to later nonces confirm; meaningful while in doubt
     bool in_doubt = true;
