--- a/src/chervilturn/admission/door.cpp
+++ b/src/chervilturn/admission/door.cpp
@@ -23,7 +23,7 @@
 
 admission door::admit(const queue_entry& entry, instant now) {
     this->free_abandoned(now);
-    if (entry.deadline <= now) {
+    if (this->cannot_end_in_time(entry, now)) {
         return refused{reason::deadline_too_near};
     }
     if (this->limit.state() == backend_state::draining) {
@@ -84,7 +84,10 @@
 departures door::advance(instant now) {
     this->free_abandoned(now);
     departures leaving;
-    for (const auto& entry : this->waiting.expire(now)) {
+    const auto given_up = [this, now](const queue_entry& entry) {
+        return this->cannot_end_in_time(entry, now);
+    };
+    for (const auto& entry : this->waiting.expire(given_up)) {
         leaving.expired.push_back(entry.attempt);
     }
     if (this->limit.in_slow_spell()) {
@@ -119,13 +122,25 @@
     if (entry.late_from == instant::max() || now >= entry.late_from) {
         return false; // late everywhere, or no limit is known
     }
-    const bool fresh = now - this->slowdown_at <= slowdown_validity;
-    const auto percent = fresh ? std::max(usual_percent, this->slowdown_percent) : usual_percent;
-    const auto extra_service = entry.usual_service * (percent - usual_percent) / usual_percent;
+    const auto extra_service =
+        entry.usual_service * (this->present_percent(now) - usual_percent) / usual_percent;
     const auto queue_wait = this->has_free_slot() ? microseconds::zero() : this->expected_wait(now);
     return now + extra_service + queue_wait >= entry.late_from;
 }
 
+// Running it would only take a slot, or a cold backend server's allowance, from calls that can still end in
+// time. Calls that have nowhere else to go are given the benefit of a host that recovers.
+bool door::cannot_end_in_time(const queue_entry& entry, instant now) const noexcept {
+    const auto percent = entry.last_resort ? usual_percent : this->present_percent(now);
+    return now + shortest_run(entry.usual_service) * percent / usual_percent >= entry.deadline;
+}
+
+// How long work takes on the host at present, in percent of the usual; 100 when that is not known.
+std::uint32_t door::present_percent(instant now) const noexcept {
+    const bool fresh = now - this->slowdown_at <= slowdown_validity;
+    return fresh ? std::max(usual_percent, this->slowdown_percent) : usual_percent;
+}
+
 microseconds door::expected_wait(instant now) const noexcept {
     const auto slots = static_cast<std::int64_t>(std::max(1U, this->limit.limit()));
     const auto ahead = static_cast<std::int64_t>(this->waiting.size());
--- a/src/chervilturn/admission/door.hpp
+++ b/src/chervilturn/admission/door.hpp
@@ -86,6 +86,8 @@
   private:
     [[nodiscard]] admission displace_for(const queue_entry& entry);
     [[nodiscard]] bool would_be_late(const queue_entry& entry, instant now) const noexcept;
+    [[nodiscard]] bool cannot_end_in_time(const queue_entry& entry, instant now) const noexcept;
+    [[nodiscard]] std::uint32_t present_percent(instant now) const noexcept;
     [[nodiscard]] bool has_free_slot() const noexcept;
     [[nodiscard]] microseconds expected_wait(instant now) const noexcept;
     void free_abandoned(instant now);
--- a/src/chervilturn/admission/fair_queue.cpp
+++ b/src/chervilturn/admission/fair_queue.cpp
@@ -71,8 +71,8 @@
 }
 
 void fair_queue::set_late_apart(instant now) {
-    const auto is_late = [](const queue_entry& entry, instant when) { return entry.late_from <= when; };
-    for (auto& entry : this->take_if(is_late, now)) {
+    for (auto& entry :
+         this->take_if([now](const queue_entry& waiting) { return waiting.late_from <= now; })) {
         this->late.push(entry);
         ++this->count;
     }
@@ -98,16 +98,16 @@
     return false;
 }
 
-std::vector<queue_entry> fair_queue::expire(instant now) {
-    return this->take_if([](const queue_entry& entry, instant when) { return entry.deadline <= when; }, now);
+std::vector<queue_entry> fair_queue::expire(const std::function<bool(const queue_entry&)>& given_up) {
+    return this->take_if(given_up);
 }
 
 std::vector<queue_entry> fair_queue::take_movable() {
-    return this->take_if([](const queue_entry& entry, instant) { return !entry.last_resort; }, {});
+    return this->take_if([](const queue_entry& entry) { return !entry.last_resort; });
 }
 
 std::vector<queue_entry> fair_queue::clear() {
-    return this->take_if([](const queue_entry&, instant) { return true; }, {});
+    return this->take_if([](const queue_entry&) { return true; });
 }
 
 std::size_t fair_queue::size_of(const std::string& workspace) const {
@@ -153,14 +153,14 @@
     return std::nullopt;
 }
 
-std::vector<queue_entry> fair_queue::take_if(bool (*wanted)(const queue_entry&, instant), instant now) {
+std::vector<queue_entry> fair_queue::take_if(const std::function<bool(const queue_entry&)>& wanted) {
     std::vector<queue_entry> taken;
     for (auto* queue : {&this->urgent, &this->normal, &this->late}) {
         std::vector<std::string> emptied;
         for (auto& [workspace, waiting] : queue->lanes) {
             std::deque<queue_entry> kept;
             for (auto& entry : waiting.entries) {
-                if (wanted(entry, now)) {
+                if (wanted(entry)) {
                     taken.push_back(std::move(entry));
                 } else {
                     kept.push_back(std::move(entry));
--- a/src/chervilturn/admission/fair_queue.hpp
+++ b/src/chervilturn/admission/fair_queue.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,8 +44,8 @@
     /// @brief Takes a call out; false when it does not wait here.
     bool remove(const attempt_id& attempt);
 
-    /// @brief Takes out every call whose deadline has passed.
-    [[nodiscard]] std::vector<queue_entry> expire(instant now);
+    /// @brief Takes out every call that an owner gives up.
+    [[nodiscard]] std::vector<queue_entry> expire(const std::function<bool(const queue_entry&)>& given_up);
 
     /// @brief Takes out the calls that another backend server may run.
     [[nodiscard]] std::vector<queue_entry> take_movable();
@@ -78,7 +79,7 @@
         void drop_lane(const std::string& workspace);
     };
 
-    [[nodiscard]] std::vector<queue_entry> take_if(bool (*wanted)(const queue_entry&, instant), instant now);
+    [[nodiscard]] std::vector<queue_entry> take_if(const std::function<bool(const queue_entry&)>& wanted);
 
     [[nodiscard]] std::size_t size_of(const std::string& workspace) const;
 
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -141,6 +141,13 @@
 /// @brief An answer without a body that says why an attempt has no result.
 [[nodiscard]] answer refuse(const attempt_id& attempt, outcome result, reason why);
 
+/// @brief The least time that work is expected to take, from the usual time of its route; zero when that is
+/// not known. Runs of one route differ, and a call with less time left than this ends in vain.
+[[nodiscard]] constexpr microseconds shortest_run(microseconds usual) noexcept {
+    constexpr std::int64_t share_percent = 70;
+    return usual * share_percent / 100;
+}
+
 /// @brief Reads the creation time out of a version 7 UUID; epoch for other texts.
 [[nodiscard]] wall_time creation_time_of(std::string_view key) noexcept;
 
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 control_task::control_task(const node_context& shared)
-    : context{&shared}, random{shared.incarnation},
-      seeds{shared.settings.seeds, shared.settings.reachable_at, shared.incarnation},
+    : context{&shared}, random{shared.incarnation}, seeds{shared.settings.seeds, shared.settings.reachable_at,
+                                                          shared.incarnation},
       reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings),
              [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
       anti_entropy{*shared.loop, [this] { this->ask_random_peer(); }}, own_start{*shared.loop,
--- a/src/chervilturn/node/entry_call.cpp
+++ b/src/chervilturn/node/entry_call.cpp
@@ -58,7 +58,8 @@
         this->shortest_wait = ended.retry_after;
     }
     this->may_have_run = this->may_have_run || ended.result == outcome::unknown;
-    const auto next = this->steps.decide(ended, elapsed(now, this->ends), budget);
+    const auto spare = elapsed(now, this->ends) - shortest_run(this->made().usual_service);
+    const auto next = this->steps.decide(ended, spare, budget);
     const bool passing = ended.result == outcome::not_run && is_passing(ended.why);
     if (passing && reconsider && !this->made().last_resort && !this->servers.tried.empty()) {
         this->servers.refused.push_back(this->servers.tried.back());
--- a/test/chervilturn/admission/door_test.cpp
+++ b/test/chervilturn/admission/door_test.cpp
@@ -110,6 +110,40 @@
     }
 }
 
+TEST_CASE("a call that cannot end in time takes no slot") {
+    const instant now{1s};
+    auto gate = warm_door(1, 10);
+    const auto call = [](std::uint64_t number, instant deadline, bool last_resort = false) {
+        auto entry = entry_of(number, "a", deadline);
+        entry.usual_service = 100ms;
+        entry.last_resort = last_resort;
+        return entry;
+    };
+    const auto why_refused = [](const admission& made) {
+        const auto* refusal = std::get_if<refused>(&made);
+        return refusal == nullptr ? reason::none : refusal->why;
+    };
+
+    SECTION("with less time than its work takes at least") {
+        CHECK(why_refused(gate.admit(call(1, now + 60ms), now)) == reason::deadline_too_near);
+        CHECK(std::holds_alternative<dispatched>(gate.admit(call(2, now + 80ms), now)));
+    }
+    SECTION("with less time than it takes on a slow host, unless it has nowhere else to go") {
+        gate.learn_slowdown(800, now);
+        CHECK(why_refused(gate.admit(call(1, now + 500ms), now)) == reason::deadline_too_near);
+        CHECK(std::holds_alternative<dispatched>(gate.admit(call(2, now + 500ms, true), now)));
+    }
+    SECTION("and leaves the queue once its time is too short") {
+        REQUIRE(std::holds_alternative<dispatched>(gate.admit(call(1, now + 1s), now)));
+        REQUIRE(std::holds_alternative<queued>(gate.admit(call(2, now + 500ms), now)));
+        CHECK(gate.advance(now + 400ms).expired.empty());
+        CHECK(gate.advance(now + 431ms).expired == std::vector<attempt_id>{{1, 2}});
+    }
+    SECTION("nothing is known of its usual time") {
+        CHECK(std::holds_alternative<dispatched>(gate.admit(entry_of(1, "a", now + 1ms), now)));
+    }
+}
+
 TEST_CASE("a full queue is shared by weight") {
     const instant now{1s};
     auto gate = warm_door(1, 4);
--- a/test/chervilturn/node/entry_call_test.cpp
+++ b/test/chervilturn/node/entry_call_test.cpp
@@ -112,6 +112,13 @@
     }
 }
 
+TEST_CASE("a call is not tried again with less time left than its work takes") {
+    started_call safe{true}; // usual time 50 ms
+    CHECK(safe.attempt("i-1", refusal(reason::queue_full), 960ms) == next_step::try_again);
+    CHECK(safe.attempt("i-2", refusal(reason::queue_full), 970ms) == next_step::answer_caller);
+    CHECK(safe.life.plan().cause() == step_cause::no_time);
+}
+
 TEST_CASE("attempts are sent with the time that is left") {
     started_call safe{true};
     safe.life.pick("i-1", false, 50ms);
