--- a/src/chervilturn/call/call.cpp
+++ b/src/chervilturn/call/call.cpp
@@ -36,7 +36,8 @@
                                                                   "key_record_young",
                                                                   "key_record_full",
                                                                   "key_expired",
-                                                                  "bad_request"};
+                                                                  "bad_request",
+                                                                  "backend_renamed"};
 
 constexpr std::size_t uuid_length = 36;
 constexpr std::size_t uuid_version_at = 14;
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -48,7 +48,8 @@
     key_record_young,
     key_record_full,
     key_expired,
-    bad_request
+    bad_request,
+    backend_renamed // the backend server bears another name than the call was sent to
 };
 
 /// @brief The name of an outcome in response headers and logs.
@@ -58,7 +59,7 @@
 [[nodiscard]] std::string_view to_string(reason value) noexcept;
 
 /// @brief Number of reasons, for tables indexed by reason.
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::bad_request) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::backend_renamed) + 1;
 
 /// @brief Identity of one attempt, unique over the fleet.
 struct attempt_id {
--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -82,7 +82,8 @@
 }
 
 bool reached_backend(const answer& ended) noexcept {
-    return ended.result != outcome::not_run || ended.why == reason::backend_shed;
+    return ended.result != outcome::not_run || ended.why == reason::backend_shed ||
+           ended.why == reason::backend_renamed;
 }
 
 bool is_backend_failure(const answer& ended) noexcept {
--- a/src/chervilturn/node/backend_caller.cpp
+++ b/src/chervilturn/node/backend_caller.cpp
@@ -50,7 +50,7 @@
         return refuse(attempt, outcome::not_run, reason::backend_shed);
     case response_kind::wrong_server:
         this->gate->release(attempt);
-        return refuse(attempt, outcome::not_run, reason::not_the_owner);
+        return refuse(attempt, outcome::not_run, reason::backend_renamed);
     case response_kind::spoiled:
         this->gate->release(attempt);
         return refuse(attempt, outcome::unknown, reason::answer_incomplete);
--- a/src/chervilturn/node/owner_beliefs.cpp
+++ b/src/chervilturn/node/owner_beliefs.cpp
@@ -6,7 +6,13 @@
 namespace chervilturn {
 
 bool owner_beliefs::name_server(const std::string& name) {
-    if (name.empty() || name == this->named) {
+    if (name.empty()) {
+        return false;
+    }
+    if (name == this->disowned) {
+        this->disowned.clear();
+    }
+    if (name == this->named) {
         return false;
     }
     this->named = name;
@@ -25,8 +31,8 @@
     }
     found.target = &target->second;
     for (const auto& server : found.target->backend_servers) {
-        const bool is_here = server.node == this->here->reachable_at;
-        if (is_here && (found.server == nullptr || server.name == this->named)) {
+        const bool is_here = server.node == this->here->reachable_at && server.name != this->disowned;
+        if (is_here && (this->named.empty() ? found.server == nullptr : server.name == this->named)) {
             found.server = &server;
         }
     }
--- a/src/chervilturn/node/owner_beliefs.hpp
+++ b/src/chervilturn/node/owner_beliefs.hpp
@@ -30,11 +30,16 @@
     /// @brief The backend server told its name; whether it is another one than before.
     [[nodiscard]] bool name_server(const std::string& name);
 
+    /// @brief The backend server refused a call that was sent to a name, since it bears another. Nothing more
+    /// is sent to that name until the server itself tells it again.
+    void disown_name(const std::string& name) { this->disowned = name; }
+
     [[nodiscard]] const model& in_force() const noexcept { return *this->settings; }
     [[nodiscard]] bool in_doubt() const noexcept { return this->doubted; }
     [[nodiscard]] bool stops() const noexcept { return this->stopping; }
     [[nodiscard]] const std::string& server_name() const noexcept { return this->named; }
 
+    /// @brief The server is the one that bears the told name; before any was told, the one listed first.
     [[nodiscard]] owned_place place_of(const call& checked) const;
 
     /// @brief Everything that forbids to run a call here and now; checked on arrival and before dispatch.
@@ -45,7 +50,8 @@
     std::shared_ptr<const model> settings = std::make_shared<const model>();
     bool doubted = true; // nothing is dispatched while in doubt
     bool stopping = false;
-    std::string named; // the backend server, as it said itself; empty before
+    std::string named;    // the backend server, as it said itself; empty before
+    std::string disowned; // a name that it does not bear; empty when none is known
 };
 
 /// @brief Where a call may be served, by its workspace and route; empty for everywhere.
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -253,6 +253,7 @@
     owned_call owned{.received = std::move(received),
                      .admitted = now,
                      .deadline = wanted.deadline,
+                     .server_name = {},
                      .running_call = {},
                      .repeats = {}};
     this->calls.emplace(attempt, std::move(owned));
@@ -312,11 +313,12 @@
     this->context->measured->record_step(
         {.service = owned.received.service, .urgent = owned.received.urgent, .step = call_step::queue},
         elapsed(owned.admitted, now));
+    owned.server_name = this->beliefs.place_of(owned.received).server->name;
     owned.running = true;
     owned.running_call =
         this->backend.run({.sent = &owned.received,
                            .remaining = elapsed(now, owned.deadline),
-                           .server_name = this->beliefs.place_of(owned.received).server->name},
+                           .server_name = owned.server_name},
                           [this](answer ended) { this->on_backend_answer(std::move(ended)); });
 }
 
@@ -336,8 +338,12 @@
     this->context->measured->record_step(
         {.service = received.service, .urgent = received.urgent, .step = call_step::backend_server},
         ended.service_time);
-    const auto* server = this->beliefs.place_of(received).server;
-    ended.backend_server = server == nullptr ? std::string{} : server->name;
+    ended.backend_server = found->second.server_name;
+    if (ended.why == reason::backend_renamed) {
+        log_event(log_level::warn, "backend_server_renamed",
+                  {{"request", received.request_id}, {"sent_to", ended.backend_server}});
+        this->beliefs.disown_name(ended.backend_server);
+    }
     this->finish(std::move(ended));
     this->advance();
 }
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -28,6 +28,7 @@
         call received;
         instant admitted;
         instant deadline;
+        std::string server_name; // of the backend server that runs it; empty before
         bool running = false;
         backend_caller::running_call running_call; // while running
         std::vector<attempt_id> repeats;           // attempts with the same idempotency key
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -32,6 +32,7 @@
     case reason::data_centre_out:
     case reason::host_leaving:
     case reason::not_the_owner:
+    case reason::backend_renamed:
     case reason::beliefs_unconfirmed:
     case reason::backend_unreachable:
     case reason::backend_draining:
--- a/test/chervilturn/call/retry_test.cpp
+++ b/test/chervilturn/call/retry_test.cpp
@@ -116,6 +116,7 @@
 
     SECTION("but one by the backend server itself is a repeat") {
         call_plan fresh{false, 2, 2};
+        CHECK(reached_backend(ended(outcome::not_run, reason::backend_renamed)));
         CHECK(fresh.decide(ended(outcome::not_run, reason::backend_shed), 1s, empty) ==
               next_step::answer_caller);
     }
--- a/test/soak/backend.cpp
+++ b/test/soak/backend.cpp
@@ -215,14 +215,15 @@
     const auto named = header_of(headers::expected_server);
     const bool other = !named.empty() && named != this->id;
     const bool full = this->refuses || this->jobs.size() >= this->options.slots + queue_length;
+    seen.misdirected = other;
+    seen.runs = !full && !other;
+    this->told->on_arrival(seen);
     if (other) {
         from.send(
             this->response_text(seen.id, 421, std::string{headers::not_run} + ": yes\r\n", "other", true));
         from.read_next();
         return;
     }
-    seen.runs = !full;
-    this->told->on_arrival(seen);
     if (full) {
         from.send(
             this->response_text(seen.id, 503, std::string{headers::not_run} + ": yes\r\n", "full", true));
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -96,12 +96,13 @@
     }
     auto& call = found->second;
     call.arrivals.push_back(seen.at);
-    call.servers.insert(seen.server);
     if (seen.target != call.sent.target || seen.origin != call.sent.origin) {
         this->report(promise::known_request, seen.id + " was changed: " + seen.origin + ' ' + seen.target);
     }
-    this->check_place(call, seen);
-    this->check_cold(seen);
+    if (!seen.misdirected) {
+        this->check_place(call, seen);
+        this->check_cold(seen);
+    }
     if (seen.time_left) {
         ++this->with_time_left;
         const auto left = call.sent.time_left - elapsed(call.sent.at, seen.at);
@@ -111,6 +112,7 @@
     }
     if (seen.runs) {
         ++call.runs;
+        call.servers.insert(seen.server);
         this->check_run(call, seen);
     }
 }
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -95,7 +95,8 @@
     std::string origin;
     std::string target;
     std::optional<microseconds> time_left;
-    bool runs = false; // refused otherwise
+    bool runs = false;        // refused otherwise
+    bool misdirected = false; // refused, since it was meant for another backend server
     instant at{};
 };
 
@@ -163,7 +164,7 @@
         sent_request sent;
         std::optional<ended_request> ended;
         std::vector<instant> arrivals;
-        std::set<std::string> servers; // that it reached
+        std::set<std::string> servers; // that ran it
         std::uint32_t runs = 0;
         std::optional<instant> work_ended; // latest
         bool gave_up = false;              // the sender left
