--- a/src/chervilturn/node/entry_call.hpp
+++ b/src/chervilturn/node/entry_call.hpp
@@ -21,7 +21,7 @@
     [[nodiscard]] instant deadline() const noexcept { return this->ends; }
     [[nodiscard]] microseconds retry_after() const noexcept { return this->shortest_wait; }
 
-    /// @brief Whether no key forbids that any backend server takes it.
+    /// @brief Whether only the home of the call's key may take it.
     [[nodiscard]] bool goes_to_key_home() const noexcept;
 
     /// @brief What a policy is told of the call.
--- a/src/chervilturn/observe/trace.hpp
+++ b/src/chervilturn/observe/trace.hpp
@@ -31,7 +31,7 @@
   private:
     struct position {
         log_line line;
-        std::size_t order; // of reading, among lines of one millisecond
+        std::size_t order = 0; // of reading, among lines of one millisecond
     };
 
     [[nodiscard]] bool concerns(const log_line& line) const;
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -319,11 +319,12 @@
         }
     }
     const auto window = this->limits.budget_window;
-    for (const auto& [service, seen] : arrivals) {
+    for (const auto& [name, seen] : arrivals) {
+        const auto& asked_for = requests[name];
         const auto asked = [&](instant from) {
-            return static_cast<double>(
-                std::count_if(requests[service].begin(), requests[service].end(),
-                              [&](instant at) { return at >= from && at < from + window; }));
+            return static_cast<double>(std::count_if(asked_for.begin(), asked_for.end(), [&](instant at) {
+                return at >= from && at < from + window;
+            }));
         };
         for (auto from = first; from < last; from += window_step) {
             const auto repeats = std::count_if(seen.begin(), seen.end(), [&](const timed& one) {
@@ -333,7 +334,7 @@
             const double bound = this->limits.budget_ratio * base + this->limits.retry_slack;
             this->judge(promise::retry_budget);
             if (static_cast<double>(repeats) > bound) {
-                this->report(promise::retry_budget, service + " got " + std::to_string(repeats) +
+                this->report(promise::retry_budget, name + " got " + std::to_string(repeats) +
                                                         " repeats in a window that allows " +
                                                         std::to_string(bound));
                 return;
