--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -44,6 +44,7 @@
     microseconds wait = std::chrono::seconds{20};          // for a change, in one call
     microseconds pause = std::chrono::milliseconds{50};    // between two calls
     std::uint32_t readers_per_data_centre = 2;             // nodes that read; all others ask them
+    microseconds own_start = std::chrono::seconds{2};      // latest; while seeds have told nothing
     microseconds parent_ping = std::chrono::seconds{2};    // a silent node that settings come from is pinged
     microseconds parent_suspect = std::chrono::seconds{3}; // and its connection suspected
 };
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -12,9 +12,7 @@
 constexpr microseconds anti_entropy_period = std::chrono::seconds{5};
 constexpr microseconds doubt_patience = std::chrono::seconds{1};
 constexpr microseconds seed_retry_period = std::chrono::milliseconds{100}; // while nothing is accepted
-constexpr microseconds earliest_own_start =
-    std::chrono::milliseconds{200}; // of reading, when seeds do not help
-constexpr microseconds latest_own_start = std::chrono::milliseconds{800};
+constexpr double earliest_own_start = 0.25; // of reading, as a share of the latest
 constexpr microseconds reader_start_spread = std::chrono::milliseconds{20};
 constexpr microseconds stand_in_start_spread = std::chrono::seconds{3}; // readers for want of a parent
 constexpr microseconds longest_follow_delay = std::chrono::milliseconds{500};
@@ -47,10 +45,9 @@
         this->reader.activate(reader_start_spread);
     } else {
         // A fleet that starts together must not read everything from the platform at once.
-        const double part = this->random.uniform(0.0, 1.0);
-        const auto spread = static_cast<double>((latest_own_start - earliest_own_start).count());
-        this->own_start.start_once(earliest_own_start +
-                                   microseconds{static_cast<std::int64_t>(part * spread)});
+        const double part = this->random.uniform(earliest_own_start, 1.0);
+        const auto latest = static_cast<double>(this->context->settings.reading.own_start.count());
+        this->own_start.start_once(microseconds{static_cast<std::int64_t>(part * latest)});
     }
     this->seed_retry.start_periodic(seed_retry_period);
     this->anti_entropy.start_periodic(anti_entropy_period);
--- a/src/chervilturn/observe/trace.cpp
+++ b/src/chervilturn/observe/trace.cpp
@@ -188,6 +188,10 @@
     const auto* worked = this->last_of(request, "backend_ended");
     const auto* admitted = this->last_of(request, "call_admitted");
     const auto* waited = this->last_of(request, "call_queued");
+    if (worked != nullptr && worked->time >= sent->time && worked->get("outcome") == "completed") {
+        return attempt + " was answered by the backend server with status " + text_of(*worked, "status") +
+               ", too late for the entry (" + why + ')';
+    }
     if (worked != nullptr && worked->time >= sent->time) {
         return attempt + " ended at the backend server with " + text_of(*worked, "reason") + " after " +
                text_of(*worked, "service_us") + " us";
--- a/test/chervilturn/observe/trace_test.cpp
+++ b/test/chervilturn/observe/trace_test.cpp
@@ -82,6 +82,16 @@
         CHECK(cause.find("answer_incomplete after 39000 us; not tried again, since it may have run") !=
               std::string::npos);
     }
+    SECTION("answered too late") {
+        const auto cause = cause_in(
+            sent + at(1, "h7", "event=call_admitted request=a " + door) +
+                at(900, "h1", "event=call_ended request=a outcome=unknown reason=timed_out") +
+                at(930, "h7", "event=backend_ended request=a outcome=completed reason=none status=504"),
+            "a");
+        CHECK(cause ==
+              "attempt 1 at i-7 was answered by the backend server with status 504, too late for the "
+              "entry (timed_out)");
+    }
     SECTION("never seen by an owner") {
         const auto cause = cause_in(
             sent + at(900, "h1", "event=call_ended request=a outcome=unknown reason=connection_lost"), "a");
