--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -81,10 +81,9 @@
     const auto opened = found->second;
     this->attempts.erase(found);
     auto& life = opened->life;
-    const auto owner = life.in_progress()->owner;
-    const auto latency = elapsed(life.in_progress()->sent_at, now);
-    this->learn_load(owner, message, latency);
-    this->learn_service(life.made(), owner, ended);
+    const auto sent = *life.in_progress();
+    const auto latency = elapsed(sent.sent_at, now);
+    this->learn(life.made().route, sent, message, now);
     const auto next = life.end_attempt(ended, this->selection->reconsiders_refusals(),
                                        this->budget_of(life.made(), life.request().retry_percent), now);
     this->count_step(life, latency);
@@ -109,28 +108,24 @@
     this->close(opened);
 }
 
-void entry_task::learn_load(const address& owner, const attempt_ended& message, microseconds latency) {
-    const auto view = this->views.find(owner);
+void entry_task::learn(const std::string& route, const entry_call::attempt& sent,
+                       const attempt_ended& message, instant now) {
+    const auto& ended = message.ended;
+    const bool served = ended.result == outcome::completed && !is_backend_failure(ended);
+    if (served) {
+        this->usual.learn(route, ended.service_time, ended.load.slowdown_percent);
+    }
+    const auto view = this->views.find(sent.owner);
     if (view == this->views.end()) {
         return;
     }
-    const auto now = now_monotonic();
-    if (message.answered) {
-        view->second.on_answer(message.ended, latency, now);
-    } else {
+    if (!message.answered) {
         view->second.on_silence(now);
-    }
-}
-
-void entry_task::learn_service(const call& made, const address& owner, const answer& ended) {
-    if (ended.result != outcome::completed || is_backend_failure(ended)) {
         return;
     }
-    this->usual.learn(made.route, ended.service_time, ended.load.slowdown_percent);
-    const auto view = this->views.find(owner);
-    if (view != this->views.end()) {
-        view->second.learn_pace(ended.service_time, this->usual.of(made.route), ended.load.slowdown_percent,
-                                now_monotonic());
+    view->second.on_answer(ended, elapsed(sent.sent_at, now), now);
+    if (served) {
+        view->second.learn_pace(ended.service_time, this->usual.of(route), ended.load.slowdown_percent, now);
     }
 }
 
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -40,8 +40,8 @@
     void handle(const explain_request& request);
 
     void configure_server();
-    void learn_load(const address& owner, const attempt_ended& message, microseconds latency);
-    void learn_service(const call& made, const address& owner, const answer& ended);
+    void learn(const std::string& route, const entry_call::attempt& sent, const attempt_ended& message,
+               instant now);
     void count_step(const entry_call& life, microseconds latency);
     [[nodiscard]] bool has_route(const std::string& name) const;
     void on_request(std::shared_ptr<http_exchange> exchange);
--- a/test/soak/ledger.cpp
+++ b/test/soak/ledger.cpp
@@ -280,13 +280,13 @@
 }
 
 void ledger::finish() {
-    this->check_refusals();
+    this->check_attempts();
     this->check_budget();
     this->check_times();
     this->check_served();
 }
 
-void ledger::check_refusals() {
+void ledger::check_attempts() {
     std::size_t over = 0;
     for (const auto& [id, call] : this->calls) {
         this->judge(promise::max_attempts);
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -139,7 +139,7 @@
     void check_answer(const call_record& call);
     void check_version(const call_record& call);
     void check_stop(const call_record& call);
-    void check_refusals();
+    void check_attempts();
     void check_budget();
     void check_times();
     void check_served();
