Log what a backend server states about its rate and its leaving

Cause: nodes' logs and metrics said nothing of a stated rate limit, so the three hypotheses of docs/incidents/stated-rate-limit.md could not be told apart. Change: statements are parsed from every response to a call or a probe (node/server_statement), a change of what is in force is one log line with its source, an unreadable rate is a warning and a counter; the rate, its age and leaving are gauges. No decision uses them yet.

--- a/src/chervilturn/node/backend_client.cpp
+++ b/src/chervilturn/node/backend_client.cpp
@@ -10,8 +10,9 @@
 
 } // namespace
 
-backend_client::backend_client(const node_context& shared_context, admission_controller& controller)
-    : context{&shared_context}, admission{&controller},
+backend_client::backend_client(const node_context& shared_context, admission_controller& controller,
+                               statement_handler handler)
+    : context{&shared_context}, admission{&controller}, on_statement{std::move(handler)},
       client{*shared_context.loop, shared_context.settings.backend_server,
              http_client_options{.max_body_bytes = shared_context.settings.limits.max_body_bytes}} {}
 
@@ -27,24 +28,26 @@
                                   return protocol->is_response_to(id, response);
                               }},
         [this, attempt, sent_at, handler = std::move(handler)](http_result result) {
-            const auto service_time = elapsed(sent_at, now_monotonic());
-            handler(this->to_answer(attempt, service_time, std::move(result)));
+            handler(this->to_answer(attempt, sent_at, std::move(result)));
         });
 }
 
-answer backend_client::to_answer(const attempt_id& attempt, microseconds service_time, http_result&& result) {
+answer backend_client::to_answer(const attempt_id& attempt, instant sent_at, http_result&& result) {
     if (const auto* failure = std::get_if<http_failure>(&result)) {
         return this->to_answer(attempt, *failure);
     }
-    return this->to_answer(attempt, service_time, std::get<http_response>(std::move(result)));
+    return this->to_answer(attempt, sent_at, std::get<http_response>(std::move(result)));
 }
 
-answer backend_client::to_answer(const attempt_id& attempt, microseconds service_time,
-                                 http_response&& response) {
+answer backend_client::to_answer(const attempt_id& attempt, instant sent_at, http_response&& response) {
+    const auto service_time = elapsed(sent_at, now_monotonic());
     const auto parsed = this->context->protocols.backend->read(response);
     if (parsed.load) {
         this->admission->set_slowdown(parsed.load->slowdown_percent, now_monotonic());
     }
+    if (parsed.kind == response_kind::answered || parsed.kind == response_kind::refused) {
+        this->on_statement(attempt, parsed.statement, sent_at);
+    }
     switch (parsed.kind) {
     case response_kind::refused:
         this->admission->release(attempt);
--- a/src/chervilturn/node/backend_client.hpp
+++ b/src/chervilturn/node/backend_client.hpp
@@ -16,7 +16,12 @@
     using running_call = std::weak_ptr<http_client::exchange>;
     using answer_handler = std::function<void(answer)>;
 
-    backend_client(const node_context& context, admission_controller& controller);
+    /// @brief Receives the statement of each response that belongs to its call, before the call's answer.
+    using statement_handler =
+        std::function<void(const attempt_id&, const server_statement&, instant sent_at)>;
+
+    backend_client(const node_context& context, admission_controller& controller,
+                   statement_handler on_statement);
 
     /// @brief Sends a call that admission control dispatched. The handler is called once, after this
     /// function has returned.
@@ -29,15 +34,14 @@
     [[nodiscard]] http_client& http() noexcept { return this->client; }
 
   private:
-    [[nodiscard]] answer to_answer(const attempt_id& attempt, microseconds service_time,
-                                   http_result&& result);
-    [[nodiscard]] answer to_answer(const attempt_id& attempt, microseconds service_time,
-                                   http_response&& response);
+    [[nodiscard]] answer to_answer(const attempt_id& attempt, instant sent_at, http_result&& result);
+    [[nodiscard]] answer to_answer(const attempt_id& attempt, instant sent_at, http_response&& response);
     [[nodiscard]] answer to_answer(const attempt_id& attempt, http_failure failure);
     void on_connection_cut(instant now);
 
     const node_context* context;
     admission_controller* admission; // outlives this
+    statement_handler on_statement;
     http_client client;
     instant last_cut_at{};               // when a connection was last cut
     std::uint32_t recent_cuts = 0;       // each within cut_window of the previous one
--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -56,11 +56,11 @@
     counters.probe_bytes += response.body.size();
     this->warm_up->on_reached();
     if (const auto report = this->context->protocols.backend->read_probe(response)) {
-        this->apply_report(*report);
+        this->apply_report(*report, sent_at);
     }
 }
 
-void backend_probe::apply_report(const probe_report& report) {
+void backend_probe::apply_report(const probe_report& report, instant sent_at) {
     if (!report.boot_id.empty()) {
         if (!this->last_boot_id.empty() && report.boot_id != this->last_boot_id) {
             log_event(log_level::warn, "backend_server_restarted", {{"boot", report.boot_id}});
@@ -69,7 +69,7 @@
         this->last_boot_id = report.boot_id;
     }
     this->warm_up->on_drain(report.draining);
-    this->on_report(report);
+    this->on_report(report, sent_at);
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/node/backend_probe.hpp
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -16,8 +16,8 @@
 /// endpoints can be late or wrong.
 class backend_probe {
   public:
-    /// @brief Receives each report that could be parsed.
-    using report_handler = std::function<void(const probe_report&)>;
+    /// @brief Receives each report that could be parsed, and when its probe was sent.
+    using report_handler = std::function<void(const probe_report&, instant sent_at)>;
 
     backend_probe(const node_context& context, http_client& http, warm_up_limit& limit,
                   report_handler handler);
@@ -28,7 +28,7 @@
   private:
     void send();
     void on_result(const http_result& result, instant sent_at);
-    void apply_report(const probe_report& report);
+    void apply_report(const probe_report& report, instant sent_at);
 
     const node_context* context;
     http_client* client;
--- a/src/chervilturn/node/native_protocol.cpp
+++ b/src/chervilturn/node/native_protocol.cpp
@@ -32,6 +32,11 @@
     return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
 }
 
+[[nodiscard]] server_statement statement_of(const http_response& response) {
+    return read_statement(response.headers, {.calls_per_second = "chervilturn-calls-per-second",
+                                             .leaving = "chervilturn-leaving"});
+}
+
 [[nodiscard]] http_response refusal_response(std::uint16_t status, outcome result, reason why,
                                              const std::string& message) {
     const nlohmann::json body{{"outcome", std::string{to_string(result)}},
@@ -99,7 +104,9 @@
     const bool is_refused =
         response.status == status_unavailable &&
         find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run);
-    return {.kind = is_refused ? response_kind::refused : response_kind::answered, .load = {}};
+    return {.kind = is_refused ? response_kind::refused : response_kind::answered,
+            .load = {},
+            .statement = statement_of(response)};
 }
 
 http_request native_backend_protocol::probe(const std::string& path) const {
@@ -118,6 +125,7 @@
     }
     const auto draining = document.find("draining");
     report.draining = draining != document.end() && draining->is_boolean() && draining->get<bool>();
+    report.statement = statement_of(response);
     return report;
 }
 
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -34,12 +34,19 @@
                                                [this](call&& received, const key_decision& decision) {
                                                    this->on_key_resolved(std::move(received), decision);
                                                }},
-      backend{shared_context, this->admission}, pauses{now_monotonic()}, advance_timer{*shared_context.loop,
-                                                                                       [this] {
-                                                                                           this->advance();
-                                                                                       }},
+      backend{shared_context, this->admission,
+              [this](const attempt_id& attempt, const server_statement& stated, instant sent_at) {
+                  const auto found = this->calls.find(attempt);
+                  const bool same_server =
+                      found != this->calls.end() && (this->state.server_name().empty() ||
+                                                     found->second.server_name == this->state.server_name());
+                  if (same_server) {
+                      this->on_statement(stated, sent_at, "call");
+                  }
+              }},
+      pauses{now_monotonic()}, advance_timer{*shared_context.loop, [this] { this->advance(); }},
       probe{shared_context, this->backend.http(), this->admission.warm_up(),
-            [this](const probe_report& report) { this->on_probe_report(report); }} {
+            [this](const probe_report& report, instant sent_at) { this->on_probe_report(report, sent_at); }} {
     shared_context.mailboxes->owner.on_message([this](owner_message&& received) {
         this->check_for_pause();
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
@@ -359,14 +366,16 @@
     this->advance();
 }
 
-void owner_task::on_probe_report(const probe_report& report) {
+void owner_task::on_probe_report(const probe_report& report, instant sent_at) {
     const auto now = now_monotonic();
     const auto previous_name = this->state.server_name();
     if (this->state.set_server_name(report.server_name)) {
         log_event(log_level::info, "backend_server_named",
                   {{"name", report.server_name}, {"before", previous_name}});
         this->admission.rate_limit().presume_cold(now);
+        this->statements.reset();
     }
+    this->on_statement(report.statement, sent_at, "probe");
     if (report.cold_left) {
         if (this->admission.rate_limit().is_cold(now) != (*report.cold_left > microseconds::zero())) {
             log_event(log_level::info, "backend_server_cold",
@@ -379,6 +388,29 @@
     }
 }
 
+void owner_task::on_statement(const server_statement& stated, instant sent_at, const char* source) {
+    const auto previous_rate = this->statements.calls_per_second();
+    if (!stated.unreadable_rate.empty()) {
+        ++this->context->stats->counters().unreadable_statements;
+    }
+    if (std::exchange(this->last_unreadable_rate, stated.unreadable_rate) != stated.unreadable_rate &&
+        !stated.unreadable_rate.empty()) {
+        log_event(
+            log_level::warn, "server_rate_unreadable",
+            {{"server", this->state.server_name()}, {"value", stated.unreadable_rate}, {"source", source}});
+    }
+    if (!this->statements.on_response(stated, sent_at, now_monotonic())) {
+        return;
+    }
+    const auto rate = this->statements.calls_per_second();
+    log_event(log_level::info, "server_statement_changed",
+              {{"server", this->state.server_name()},
+               {"calls_per_second", rate ? std::to_string(*rate) : "none"},
+               {"before", previous_rate ? std::to_string(*previous_rate) : "none"},
+               {"leaving", this->statements.leaving() ? "yes" : "no"},
+               {"source", source}});
+}
+
 void owner_task::refuse_queued(reason why) {
     for (const auto& removed_entry : this->admission.clear_queue()) {
         this->finish(refuse(removed_entry.attempt, outcome::not_run, why));
@@ -463,6 +495,9 @@
     gauge_values.admission_in_use = load.in_use;
     gauge_values.admission_queued = load.queued;
     gauge_values.backend_server_cold = this->admission.rate_limit().is_cold(now);
+    gauge_values.server_rate_limit = this->statements.calls_per_second();
+    gauge_values.server_rate_age = this->statements.rate_age(now);
+    gauge_values.server_leaving = this->statements.leaving();
 }
 
 void owner_task::configure_admission() {
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -10,6 +10,7 @@
 #include "chervilturn/node/key_resolver.hpp"
 #include "chervilturn/node/messages.hpp"
 #include "chervilturn/node/owner_state.hpp"
+#include "chervilturn/node/server_statement.hpp"
 
 #include <unordered_map>
 
@@ -57,7 +58,9 @@
     void log_late_refusal(const call& received, reason why) const;
     void dispatch(const attempt_id& attempt);
     void on_backend_answer(answer ended);
-    void on_probe_report(const probe_report& report);
+    void on_probe_report(const probe_report& report, instant sent_at);
+    // Processes what the backend server states in a response to a call or probe; source is "call" or "probe".
+    void on_statement(const server_statement& stated, instant sent_at, const char* source);
     void refuse_queued(reason why);
     void recheck_queued();
     void finish(answer ended);
@@ -69,6 +72,8 @@
 
     const node_context* context;
     owner_state state;
+    server_statements statements;     // of the backend server that the last probe named
+    std::string last_unreadable_rate; // in the latest response; empty when that one was readable
     admission_controller admission;
     attempt_record attempts;
     key_resolver keys;
--- a/src/chervilturn/node/protocol.hpp
+++ b/src/chervilturn/node/protocol.hpp
@@ -4,6 +4,7 @@
 
 #include "chervilturn/config/node_settings.hpp"
 #include "chervilturn/node/platform.hpp"
+#include "chervilturn/node/server_statement.hpp"
 #include "chervilturn/selection/eligibility.hpp"
 #include "chervilturn/transport/http.hpp"
 
@@ -87,6 +88,7 @@
 struct backend_response {
     response_kind kind = response_kind::answered;
     std::optional<backend_load> load; // nothing when the response carries none
+    server_statement statement{};
 };
 
 /// @brief A parsed response to a probe.
@@ -96,6 +98,7 @@
     std::string server_name; // its name in the settings; empty when not reported
     std::optional<microseconds> cold_left; // until it is warm; nothing when not reported
     std::optional<backend_load> load;      // nothing when not reported
+    server_statement statement{};
 };
 
 /// @brief A call that is being sent to the backend server.
--- a/src/chervilturn/observe/metrics.cpp
+++ b/src/chervilturn/observe/metrics.cpp
@@ -185,6 +185,7 @@
                      static_cast<double>(this->counter_values.refusals.at(index)));
     }
     write_counter(text, "probes_total", this->counter_values.probes);
+    write_counter(text, "unreadable_statements_total", this->counter_values.unreadable_statements);
     write_counter(text, "probe_bytes_total", this->counter_values.probe_bytes);
     write_counter(text, "probe_microseconds_total", this->counter_values.probe_micros);
     write_counter(text, "control_sent_bytes_total", this->counter_values.control_bytes_sent);
@@ -218,6 +219,11 @@
     write_gauge(text, "door_in_use", static_cast<double>(gauges.admission_in_use));
     write_gauge(text, "door_queued", static_cast<double>(gauges.admission_queued));
     write_gauge(text, "backend_server_cold", gauges.backend_server_cold ? 1.0 : 0.0);
+    write_gauge(text, "server_leaving", gauges.server_leaving ? 1.0 : 0.0);
+    if (gauges.server_rate_limit) {
+        write_gauge(text, "server_rate_limit", *gauges.server_rate_limit);
+        write_gauge(text, "server_rate_limit_age_seconds", to_seconds(gauges.server_rate_age));
+    }
     write_type(text, "retry_budget_left", "gauge");
     for (const auto& [name, left] : gauges.retry_budget_left) {
         write_sample(text, "retry_budget_left", "budget=\"" + escape_label(name) + '"', left);
--- a/src/chervilturn/observe/metrics.hpp
+++ b/src/chervilturn/observe/metrics.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chervilturn {
@@ -86,6 +87,9 @@
     std::uint64_t admission_in_use = 0; // calls dispatched to it and not ended
     std::uint64_t admission_queued = 0; // calls that wait for dispatch
     bool backend_server_cold = false;
+    std::optional<double> server_rate_limit; // calls per second that the backend server states; nothing: none
+    microseconds server_rate_age{};          // since a response last stated it
+    bool server_leaving = false;             // by the backend server's own statement
     std::map<std::string, double> retry_budget_left; // allowed retries, by name of the budget
 };
 
@@ -93,6 +97,7 @@
 struct node_counters {
     std::array<std::uint64_t, reason_count> refusals{}; // by reason
     std::uint64_t probes = 0;
+    std::uint64_t unreadable_statements = 0; // responses of the backend server with an unreadable rate
     std::uint64_t probe_bytes = 0;
     std::uint64_t probe_micros = 0; // total duration of all probes, failed ones included
     std::uint64_t control_bytes_sent = 0;
