--- a/stand_ins/backend_server.cpp
+++ b/stand_ins/backend_server.cpp
@@ -3,8 +3,9 @@
 //
 // Query parameters of a call: ms (service time in milliseconds), size (bytes of filler in the response body),
 // cut (closes the connection in the middle of the response body).
-// Control requests: POST /control/set?latency_us=&factor=&drain=&shed=&cold=&reset= (cold and reset act
-// when present, whatever their value), GET /control/stats, GET /control/runs?id=.
+// Control requests: POST /control/set?latency_us=&factor=&drain=&shed=&rate=&leaving=&cold=&reset= (cold and
+// reset act when present, whatever their value; an empty rate states none), GET /control/stats,
+// GET /control/runs?id=.
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/transport/event_loop.hpp"
 #include "stand_ins/query.hpp"
@@ -194,6 +195,10 @@
                 static_cast<double>(url.number("factor", static_cast<std::int64_t>(this->latency_factor)));
             this->draining = url.number("drain", this->draining ? 1 : 0) != 0;
             this->shedding = url.number("shed", this->shedding ? 1 : 0) != 0;
+            this->leaving = url.number("leaving", this->leaving ? 1 : 0) != 0;
+            if (url.has("rate")) {
+                this->stated_rate = url.text("rate");
+            }
             if (url.has("cold")) {
                 this->answers_since_cold = 0;
                 this->boot_id = this->random.bits();
@@ -222,6 +227,13 @@
     }
 
     void reply(evhttp_request* request, int status, const nlohmann::json& body) {
+        auto* headers = evhttp_request_get_output_headers(request);
+        if (!this->stated_rate.empty()) {
+            evhttp_add_header(headers, "chervilturn-calls-per-second", this->stated_rate.c_str());
+        }
+        if (this->leaving) {
+            evhttp_add_header(headers, "chervilturn-leaving", "1");
+        }
         auto* buffer = evbuffer_new();
         const auto text = body.dump() + '\n';
         evbuffer_add(buffer, text.data(), text.size());
@@ -236,6 +248,8 @@
     double latency_factor = 1.0;
     bool draining = false;                // refuses calls and says so in the load report
     bool shedding = false;                // refuses calls without notice in the load report
+    bool leaving = false;                 // says so in every response, and runs calls
+    std::string stated_rate;              // calls per second, in every response; empty: none
     std::uint32_t answers_since_cold = 0; // completed calls since the last cold start or collapse
     std::size_t in_use = 0;
     std::size_t reported_in_use = 0; // in_use at the last refresh of the load report
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -258,7 +258,7 @@
 -- The value of a metric, named without the prefix chervilturn_; nil when the node does not show it.
 function fleet_methods:metric(node, name)
   local text = http { address = address_of(node.operator_port), target = "/metrics" }.body
-  local value = text:match("\nchervilturn_" .. name:gsub("[%-{}=\"]", "%%%0") .. " (%S+)")
+  local value = (text or ""):match("\nchervilturn_" .. name:gsub("[%-{}=\"]", "%%%0") .. " (%S+)")
   return tonumber(value)
 end
 
