Keep to the rate that a backend server states

Callers saw: backend servers in need got three times the calls that they had said they could take (LIMIT). Cause: the owner's admission knows two capacities, slots and the cold rate, both from settings and probes. A limit that the backend server states while it runs had no place in it, and no message carried one to entries. Class of fault: a capacity signal of the peer that is read by nobody. Change: admission has a third limit, stated_rate_limit: a token bucket that starts empty when the limit is named and after a restart, holds one call or a tenth of a second, and takes its token together with the cold one and the slot, or none. The wait for a rate now counts for calls that have a free slot, for the cold rate as well: a call that would miss its deadline is refused at once with the time of room, one that another server answers in time moves there. Answers carry rate and wait, the entry counts them as queueing. A node that starts runs no call before its first probe has a result, since only the backend server knows what it said before. A draining backend server's queue is refused at once; it used to wait for the deadlines. Older nodes reject answers with an unknown reason, so they get queue_full; the field newerReason carries the new one.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -70,6 +70,9 @@
   queued @1 :UInt32;
   limit @2 :UInt32;
   slowdownPercent @3 :UInt32 = 100;
+  rateLimited @4 :Bool;
+  callsPerSecond @5 :Float64;  # only with rateLimited
+  rateWaitMicros @6 :UInt64;
 }
 
 struct Answer {
@@ -85,6 +88,8 @@
   ownerHost @9 :Text;
   keyNeverRan @10 :Bool;
   retryAfterMicros @11 :UInt64;
+  # The reason, when older nodes do not know it: reason then holds one that they know. Otherwise 0.
+  newerReason @12 :UInt16;
 }
 
 struct SubtreeRevision {
--- a/src/chervilturn/admission/admission_controller.cpp
+++ b/src/chervilturn/admission/admission_controller.cpp
@@ -34,18 +34,16 @@
         return refused{reason::backend_unreachable};
     }
     if (!entry.last_resort && this->would_be_late(entry, now)) {
-        return refused{reason::would_be_late, this->expected_wait(now)};
+        return this->refuse_to_wait(reason::would_be_late, now);
     }
-    if (this->queue.size() == 0 && this->has_free_slot() && this->cold_rate.take(now)) {
-        this->in_use.emplace(entry.attempt, std::nullopt);
+    if (this->queue.size() == 0 && this->start(entry.attempt, now)) {
         return dispatched{};
     }
     if (this->limit.is_slow() && !entry.last_resort) {
         return refused{reason::backend_slow, this->limit.recent_service_time()};
     }
-    const auto estimated_wait = this->expected_wait(now);
-    if (now + estimated_wait > entry.deadline) {
-        return refused{reason::deadline_too_near, estimated_wait};
+    if (now + this->expected_wait(now) > entry.deadline) {
+        return this->refuse_to_wait(reason::deadline_too_near, now);
     }
     if (this->queue.size() < this->options.max_queue) {
         this->queue.push(entry);
@@ -93,27 +91,46 @@
     for (const auto& entry : this->queue.expire(cannot_finish)) {
         dequeued.expired.push_back(entry.attempt);
     }
+    if (this->limit.state() == backend_state::draining) {
+        for (const auto& entry : this->queue.clear()) {
+            dequeued.drained.push_back(entry.attempt);
+        }
+    }
     if (this->limit.is_slow()) {
         for (const auto& entry : this->queue.take_reroutable()) {
             dequeued.shed.push_back(entry.attempt);
         }
     }
-    while (this->has_free_slot() && this->queue.size() > 0 && this->cold_rate.take(now)) {
+    while (this->queue.size() > 0 && this->can_start(now)) {
         const auto next = this->queue.pop(now);
-        if (!next) {
+        if (!next || !this->start(next->attempt, now)) {
             break;
         }
-        this->in_use.emplace(next->attempt, std::nullopt);
         dequeued.dispatch.push_back(next->attempt);
     }
     return dequeued;
 }
 
+bool admission_controller::can_start(instant now) noexcept {
+    return this->has_free_slot() && this->cold_rate.has_room(now) && this->stated_rate.has_room(now);
+}
+
+bool admission_controller::start(const attempt_id& attempt, instant now) {
+    if (!this->can_start(now)) {
+        return false;
+    }
+    this->cold_rate.count(now);
+    this->stated_rate.count(now);
+    this->in_use.emplace(attempt, std::nullopt);
+    return true;
+}
+
 load_report admission_controller::report() const noexcept {
     return {.in_use = static_cast<std::uint32_t>(this->in_use.size()),
             .queued = static_cast<std::uint32_t>(this->queue.size()),
             .limit = this->limit.limit(),
-            .slowdown_percent = this->slowdown_percent};
+            .slowdown_percent = this->slowdown_percent,
+            .calls_per_second = this->stated_rate.rate()};
 }
 
 bool admission_controller::has_free_slot() const noexcept {
@@ -128,8 +145,7 @@
     }
     const auto added_service_time =
         entry.baseline_service_time * (this->current_slowdown(now) - normal_percent) / normal_percent;
-    const auto queue_wait = this->has_free_slot() ? microseconds::zero() : this->expected_wait(now);
-    return now + added_service_time + queue_wait >= entry.latest_start;
+    return now + added_service_time + this->expected_wait(now) >= entry.latest_start;
 }
 
 // Whether the call cannot finish before its deadline. Running it would only take a slot, or part of the rate
@@ -147,13 +163,33 @@
     return is_recent ? std::max(normal_percent, this->slowdown_percent) : normal_percent;
 }
 
-// Estimated time until a call added to the queue starts: the longer of the wait for a slot and the wait that
-// the cold rate imposes.
-microseconds admission_controller::expected_wait(instant now) const noexcept {
+// Estimated time until a slot is free for a call added to the queue.
+microseconds admission_controller::slot_wait() const noexcept {
+    if (this->has_free_slot()) {
+        return microseconds::zero();
+    }
     const auto slots = static_cast<std::int64_t>(std::max(1U, this->limit.limit()));
     const auto queue_length = static_cast<std::int64_t>(this->queue.size());
-    const auto slot_wait = this->limit.recent_service_time() * queue_length / slots;
-    return std::max(slot_wait, this->cold_rate.time_for(this->queue.size(), now));
+    return this->limit.recent_service_time() * queue_length / slots;
+}
+
+microseconds admission_controller::rate_wait(instant now) const noexcept {
+    return std::max(this->cold_rate.time_for(this->queue.size(), now),
+                    this->stated_rate.wait_after(this->queue.size(), now));
+}
+
+// Estimated time until a call added to the queue starts.
+microseconds admission_controller::expected_wait(instant now) const noexcept {
+    return std::max(this->slot_wait(), this->rate_wait(now));
+}
+
+// Refuses a call that would wait too long. The reason names the stated rate when that imposes the wait.
+refused admission_controller::refuse_to_wait(reason why, instant now) const noexcept {
+    const auto stated_wait = this->stated_rate.wait_after(this->queue.size(), now);
+    const auto wait = this->expected_wait(now);
+    const bool is_rate_limited = stated_wait > microseconds::zero() && stated_wait >= wait;
+    const bool has_end = wait < stated_rate_limit::unlimited_wait;
+    return {is_rate_limited ? reason::server_rate_limited : why, has_end ? wait : microseconds::zero()};
 }
 
 void admission_controller::free_abandoned_slots(instant now) {
--- a/src/chervilturn/admission/admission_controller.hpp
+++ b/src/chervilturn/admission/admission_controller.hpp
@@ -4,6 +4,7 @@
 
 #include "chervilturn/admission/cold_rate_limit.hpp"
 #include "chervilturn/admission/fair_queue.hpp"
+#include "chervilturn/admission/stated_rate_limit.hpp"
 #include "chervilturn/admission/warm_up.hpp"
 
 #include <optional>
@@ -41,6 +42,7 @@
     std::vector<attempt_id> dispatch; // send to the backend server; each holds a slot
     std::vector<attempt_id> expired;  // refuse: cannot finish before the deadline
     std::vector<attempt_id> shed;     // refuse: another backend server will be quicker
+    std::vector<attempt_id> drained;  // refuse: the backend server takes no new calls
 };
 
 /// @brief Admission control for one backend server. Does no I/O: the owner carries out the decisions.
@@ -83,11 +85,22 @@
     }
 
     /// @brief The rate limit that applies while the backend server is cold.
-    [[nodiscard]] cold_rate_limit& rate_limit() noexcept { return this->cold_rate; }
+    [[nodiscard]] cold_rate_limit& cold_limit() noexcept { return this->cold_rate; }
+
+    /// @brief The rate limit that the backend server states.
+    [[nodiscard]] stated_rate_limit& stated_limit() noexcept { return this->stated_rate; }
+    [[nodiscard]] const stated_rate_limit& stated_limit() const noexcept { return this->stated_rate; }
 
     /// @brief Current load, as the owner reports it with each answer.
     [[nodiscard]] load_report report() const noexcept;
 
+    /// @brief Time until the rate limits have room for a call that arrives now, behind the queued ones; zero
+    /// without such a limit.
+    [[nodiscard]] microseconds rate_wait(instant now) const noexcept;
+
+    /// @brief Number of calls that wait for dispatch.
+    [[nodiscard]] std::size_t waiting() const noexcept { return this->queue.size(); }
+
     /// @brief The concurrency limit and the state of the backend server.
     [[nodiscard]] warm_up_limit& warm_up() noexcept { return this->limit; }
     [[nodiscard]] const warm_up_limit& warm_up() const noexcept { return this->limit; }
@@ -101,12 +114,18 @@
     [[nodiscard]] bool cannot_finish_in_time(const queue_entry& entry, instant now) const noexcept;
     [[nodiscard]] std::uint32_t current_slowdown(instant now) const noexcept;
     [[nodiscard]] bool has_free_slot() const noexcept;
+    // Takes a slot and a place in both rates for a call; false, and nothing taken, when one has no room.
+    [[nodiscard]] bool start(const attempt_id& attempt, instant now);
+    [[nodiscard]] bool can_start(instant now) noexcept;
+    [[nodiscard]] microseconds slot_wait() const noexcept;
     [[nodiscard]] microseconds expected_wait(instant now) const noexcept;
+    [[nodiscard]] refused refuse_to_wait(reason why, instant now) const noexcept;
     void free_abandoned_slots(instant now);
 
     admission_options options;
     warm_up_limit limit;
     cold_rate_limit cold_rate;
+    stated_rate_limit stated_rate;
     std::uint32_t slowdown_percent = 100; // last report of the backend server
     instant slowdown_at{};                // time of that report
     fair_queue queue;
--- a/src/chervilturn/admission/cold_rate_limit.cpp
+++ b/src/chervilturn/admission/cold_rate_limit.cpp
@@ -36,8 +36,14 @@
     return this->options.calls_per_second > 0 && now < this->cold_until;
 }
 
-bool cold_rate_limit::take(instant now) {
-    return !this->is_cold(now) || this->bucket.take(1.0, now);
+bool cold_rate_limit::has_room(instant now) noexcept {
+    return !this->is_cold(now) || this->bucket.level(now) >= 1.0;
+}
+
+void cold_rate_limit::count(instant now) noexcept {
+    if (this->is_cold(now)) {
+        static_cast<void>(this->bucket.take(1.0, now));
+    }
 }
 
 microseconds cold_rate_limit::time_for(std::size_t calls, instant now) const noexcept {
--- a/src/chervilturn/admission/cold_rate_limit.hpp
+++ b/src/chervilturn/admission/cold_rate_limit.hpp
@@ -36,8 +36,11 @@
     /// @brief Whether the backend server is cold; always false when there is no rate limit.
     [[nodiscard]] bool is_cold(instant now) const noexcept;
 
-    /// @brief Takes the token for one call; false when the rate is used up. Always true unless cold.
-    [[nodiscard]] bool take(instant now);
+    /// @brief Whether the rate leaves room for a call now; always true unless cold.
+    [[nodiscard]] bool has_room(instant now) noexcept;
+
+    /// @brief Counts one call that starts now.
+    void count(instant now) noexcept;
 
     /// @brief Time in which the rate admits a number of calls; zero unless cold.
     [[nodiscard]] microseconds time_for(std::size_t calls, instant now) const noexcept;
--- a/src/chervilturn/admission/fwd.hpp
+++ b/src/chervilturn/admission/fwd.hpp
@@ -11,6 +11,7 @@
 class admission_controller;
 struct cold_rate_limit_options;
 class cold_rate_limit;
+class stated_rate_limit;
 struct key_record_options;
 class home_history;
 class key_record;
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,7 +51,8 @@
     key_record_full,
     key_expired,
     bad_request,
-    backend_renamed // the backend server's name is not the one that the call was sent to
+    backend_renamed,    // the backend server's name is not the one that the call was sent to
+    server_rate_limited // the rate that the backend server states has no room in time
 };
 
 /// @brief Returns the name of an outcome in response headers and logs.
@@ -60,7 +62,7 @@
 [[nodiscard]] std::string_view to_string(reason value) noexcept;
 
 /// @brief Number of reasons; the size of tables indexed by reason.
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::backend_renamed) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::server_rate_limited) + 1;
 
 /// @brief Identity of one attempt, unique across the fleet.
 struct attempt_id {
@@ -121,10 +123,12 @@
 
 /// @brief Load of a backend server as its owner counts it.
 struct load_report {
-    std::uint32_t in_use = 0;             // calls dispatched to the backend server
-    std::uint32_t queued = 0;             // calls waiting at the owner
-    std::uint32_t limit = 1;              // calls that the backend server may run at once
-    std::uint32_t slowdown_percent = 100; // duration of work on the host; 100 is normal speed
+    std::uint32_t in_use = 0;                 // calls dispatched to the backend server
+    std::uint32_t queued = 0;                 // calls waiting at the owner
+    std::uint32_t limit = 1;                  // calls that the backend server may run at once
+    std::uint32_t slowdown_percent = 100;     // duration of work on the host; 100 is normal speed
+    std::optional<double> calls_per_second{}; // rate limit that the backend server states; nothing: none
+    microseconds rate_wait{};                 // until the rate limits have room for a further call
 };
 
 /// @brief The result of one attempt, with the response when the call completed.
--- a/src/chervilturn/core/token_bucket.cpp
+++ b/src/chervilturn/core/token_bucket.cpp
@@ -6,8 +6,8 @@
 namespace chervilturn {
 
 token_bucket::token_bucket(const token_bucket_options& options) noexcept
-    : tokens_per_second{options.tokens_per_second}, capacity{options.capacity}, tokens{options.capacity},
-      refilled_at{options.now} {}
+    : tokens_per_second{options.tokens_per_second}, capacity{options.capacity},
+      tokens{std::min(options.capacity, options.initial_tokens)}, refilled_at{options.now} {}
 
 bool token_bucket::take(double requested, instant now) noexcept {
     this->refill(now);
--- a/src/chervilturn/core/token_bucket.hpp
+++ b/src/chervilturn/core/token_bucket.hpp
@@ -3,16 +3,20 @@
 
 #include "chervilturn/core/time.hpp"
 
+#include <limits>
+
 namespace chervilturn {
 
 /// @brief Options of a token bucket.
 struct token_bucket_options {
     double tokens_per_second = 1.0;
-    double capacity = 1.0; // largest burst
-    instant now{};         // time of construction
+    double capacity = 1.0;                                           // largest burst
+    instant now{};                                                   // time of construction
+    double initial_tokens = std::numeric_limits<double>::infinity(); // at most the capacity
 };
 
-/// @brief Token bucket. It starts full and refills at a constant rate up to its capacity.
+/// @brief Token bucket. It starts full unless the options say otherwise, and refills at a constant rate up to
+/// its capacity.
 class token_bucket {
   public:
     explicit token_bucket(const token_bucket_options& options) noexcept;
--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -28,6 +28,13 @@
     this->send_timer.start_periodic(std::chrono::duration_cast<microseconds>(period));
 }
 
+void backend_probe::set_path(const std::string& new_path) {
+    this->path = new_path;
+    if (this->awaits_first_result()) {
+        this->send();
+    }
+}
+
 void backend_probe::send() {
     const auto now = now_monotonic();
     if (this->path.empty() || this->in_progress || !this->budget.take(1.0, now)) {
@@ -39,6 +46,7 @@
     static_cast<void>(this->client->send(request, this->context->settings.probes.timeout,
                                          [this, now](const http_result& result) {
                                              this->in_progress = false;
+                                             this->has_result = true;
                                              this->on_result(result, now);
                                          }));
 }
--- a/src/chervilturn/node/backend_probe.hpp
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -22,8 +22,14 @@
     backend_probe(const node_context& context, http_client& http, warm_up_limit& limit,
                   report_handler handler);
 
-    /// @brief Sets the request path of probes; an empty path stops them.
-    void set_path(const std::string& new_path) { this->path = new_path; }
+    /// @brief Sets the request path of probes; an empty path stops them. The first probe is sent at once.
+    void set_path(const std::string& new_path);
+
+    /// @brief Whether the first probe since the start still has no result, failed ones included. False when
+    /// there are no probes.
+    [[nodiscard]] bool awaits_first_result() const noexcept {
+        return !this->path.empty() && !this->has_result;
+    }
 
   private:
     void send();
@@ -37,6 +43,7 @@
     std::string path;         // empty until settings are accepted; no probe is sent while empty
     token_bucket budget;      // probes that may be sent
     bool in_progress = false; // a probe has no result yet
+    bool has_result = false;  // of any probe since the start, a failed one included
     std::string last_boot_id; // of the latest report that has one; empty until then
     timer send_timer;
 };
--- a/src/chervilturn/node/entry_call.cpp
+++ b/src/chervilturn/node/entry_call.cpp
@@ -10,7 +10,7 @@
 // Whether an owner refused because it was full or slow, which may change within moments.
 [[nodiscard]] bool is_transient(reason why) {
     return why == reason::would_be_late || why == reason::queue_full || why == reason::deadline_too_near ||
-           why == reason::backend_slow;
+           why == reason::backend_slow || why == reason::server_rate_limited;
 }
 
 } // namespace
--- a/src/chervilturn/node/owner_state.cpp
+++ b/src/chervilturn/node/owner_state.cpp
@@ -48,6 +48,9 @@
     if (this->stale) {
         return reason::settings_unconfirmed;
     }
+    if (!this->probed) {
+        return reason::backend_unreachable;
+    }
     const auto resolved = this->resolve(received);
     if (resolved.server == nullptr) {
         return reason::not_the_owner;
--- a/src/chervilturn/node/owner_state.hpp
+++ b/src/chervilturn/node/owner_state.hpp
@@ -28,6 +28,10 @@
     void confirm() noexcept { this->stale = false; }
     void begin_shutdown() noexcept { this->in_shutdown = true; }
 
+    /// @brief Whether a probe since the start of the node had a result. Before, the node does not know what
+    /// the backend server has stated, so it refuses calls.
+    void set_probed(bool has_result) noexcept { this->probed = has_result; }
+
     /// @brief Stores the name that the backend server reported; returns whether it differs from the previous
     /// one. An empty name is ignored.
     [[nodiscard]] bool set_server_name(const std::string& name);
@@ -56,6 +60,7 @@
     std::shared_ptr<const model> settings = std::make_shared<const model>();
     bool stale = true; // no call is dispatched while true
     bool in_shutdown = false;
+    bool probed = false;       // no call is dispatched while false
     std::string reported_name; // by the backend server; empty before its first report
     std::string rejected_name; // by the backend server; empty when it rejected none
 };
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -14,6 +14,8 @@
 constexpr microseconds reply_margin = std::chrono::milliseconds{5};
 constexpr std::int64_t reply_margin_divisor = 10; // the margin is at most a tenth of the remaining time
 // During a pause of this length, settings may have moved a key's home to another owner and back.
+// Longest wait for room in a rate that is reported to entries, so that each asks again in time.
+constexpr microseconds max_reported_wait = std::chrono::seconds{1};
 constexpr microseconds long_pause = std::chrono::seconds{19};
 
 // The owner times out slightly before the entry, so that its answer reaches the entry in time.
@@ -21,6 +23,11 @@
     return now + remaining - std::min(reply_margin, remaining / reply_margin_divisor);
 }
 
+// A stated rate for logs and the status page.
+[[nodiscard]] std::string rate_text(std::optional<double> calls_per_second) {
+    return calls_per_second ? std::to_string(*calls_per_second) : "none";
+}
+
 [[nodiscard]] bool needs_key_resolution(const call& received) {
     return received.key.is_present() && !received.idempotent;
 }
@@ -59,6 +66,7 @@
     this->state.accept(message.settings);
     this->keys.update_settings(*message.settings);
     this->configure_admission();
+    this->state.set_probed(!this->probe.awaits_first_result());
     this->recheck_queued();
 }
 
@@ -165,7 +173,8 @@
                    {"recorded_keys", this->keys.recorded_keys()},
                    {"recorded_attempts", this->attempts.size()},
                    {"beliefs_in_doubt", this->state.is_stale()},
-                   {"shutting_down", this->state.is_shutting_down()}});
+                   {"shutting_down", this->state.is_shutting_down()},
+                   {"stated_rate", rate_text(this->statements.calls_per_second())}});
 }
 
 // Runs before each message, backend answer and queue advance, so that no call is dispatched with settings
@@ -299,6 +308,9 @@
               {"queued", load.queued},
               {"limit", load.limit},
               {"slowdown_percent", load.slowdown_percent},
+              {"stated_rate", rate_text(load.calls_per_second)},
+              {"rate_age_us", this->statements.rate_age(now_monotonic()).count()},
+              {"rate_wait_us", this->admission.rate_wait(now_monotonic()).count()},
               {"recent_service_us", this->admission.warm_up().recent_service_time().count()},
               {"remaining_us", received.remaining.count()}});
 }
@@ -372,20 +384,22 @@
     if (this->state.set_server_name(report.server_name)) {
         log_event(log_level::info, "backend_server_named",
                   {{"name", report.server_name}, {"before", previous_name}});
-        this->admission.rate_limit().presume_cold(now);
+        this->admission.cold_limit().presume_cold(now);
         this->statements.reset();
+        this->admission.stated_limit().set_rate(std::nullopt, now);
     }
     this->on_statement(report.statement, sent_at, "probe");
     if (report.cold_left) {
-        if (this->admission.rate_limit().is_cold(now) != (*report.cold_left > microseconds::zero())) {
+        if (this->admission.cold_limit().is_cold(now) != (*report.cold_left > microseconds::zero())) {
             log_event(log_level::info, "backend_server_cold",
                       {{"server", this->state.server_name()}, {"cold_left_us", report.cold_left->count()}});
         }
-        this->admission.rate_limit().on_reported(*report.cold_left, now);
+        this->admission.cold_limit().on_reported(*report.cold_left, now);
     }
     if (report.load) {
         this->admission.set_slowdown(report.load->slowdown_percent, now);
     }
+    this->state.set_probed(!this->probe.awaits_first_result());
 }
 
 void owner_task::on_statement(const server_statement& stated, instant sent_at, const char* source) {
@@ -399,14 +413,16 @@
             log_level::warn, "server_rate_unreadable",
             {{"server", this->state.server_name()}, {"value", stated.unreadable_rate}, {"source", source}});
     }
-    if (!this->statements.on_response(stated, sent_at, now_monotonic())) {
+    const auto now = now_monotonic();
+    if (!this->statements.on_response(stated, sent_at, now)) {
         return;
     }
     const auto rate = this->statements.calls_per_second();
+    this->admission.stated_limit().set_rate(rate, now);
     log_event(log_level::info, "server_statement_changed",
               {{"server", this->state.server_name()},
-               {"calls_per_second", rate ? std::to_string(*rate) : "none"},
-               {"before", previous_rate ? std::to_string(*previous_rate) : "none"},
+               {"calls_per_second", rate_text(rate)},
+               {"before", rate_text(previous_rate)},
                {"leaving", this->statements.leaving() ? "yes" : "no"},
                {"source", source}});
 }
@@ -458,6 +474,7 @@
 
 void owner_task::reply(answer ended) {
     ended.load = this->admission.report();
+    ended.load.rate_wait = std::min(max_reported_wait, this->admission.rate_wait(now_monotonic()));
     ended.owner_host = this->context->settings.host;
     if (ended.result != outcome::completed) {
         ++this->context->stats->counters().refusals.at(static_cast<std::size_t>(ended.why));
@@ -473,10 +490,14 @@
 void owner_task::advance() {
     this->check_for_pause();
     const auto now = now_monotonic();
+    this->state.set_probed(!this->probe.awaits_first_result());
     const auto dequeued = this->admission.advance(now);
     for (const auto& attempt : dequeued.expired) {
         this->finish(refuse(attempt, outcome::not_run, reason::deadline_too_near));
     }
+    for (const auto& attempt : dequeued.drained) {
+        this->finish(refuse(attempt, outcome::not_run, reason::backend_draining));
+    }
     for (const auto& attempt : dequeued.shed) {
         this->finish(refuse(attempt, outcome::not_run, reason::backend_slow));
     }
@@ -494,7 +515,7 @@
     gauge_values.admission_limit = load.limit;
     gauge_values.admission_in_use = load.in_use;
     gauge_values.admission_queued = load.queued;
-    gauge_values.backend_server_cold = this->admission.rate_limit().is_cold(now);
+    gauge_values.backend_server_cold = this->admission.cold_limit().is_cold(now);
     gauge_values.server_rate_limit = this->statements.calls_per_second();
     gauge_values.server_rate_age = this->statements.rate_age(now);
     gauge_values.server_leaving = this->statements.leaving();
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -14,6 +14,7 @@
 constexpr double latency_half_life_seconds = 1.0; // so that a slow server is tried again
 constexpr double sample_weight = 0.2;             // in the smoothed latency and the server's own slowdown
 constexpr double percent = 100.0;
+constexpr double min_stated_rate = 1.0; // calls per second, so that calls of this entry are weighted finitely
 constexpr double host_slowdown_half_life_seconds = 0.15; // a host's slowdown changes several times a second
 constexpr double default_slowdown = 1.3;                 // of a host without a recent report
 constexpr double own_slowdown_half_life_seconds = 1.5;   // slow period of one server
@@ -59,12 +60,14 @@
 
 void load_view::on_sent(instant) noexcept {
     ++this->own_calls;
+    ++this->sent_since_report;
 }
 
 void load_view::on_answer(const answer& ended, microseconds sample, instant now) noexcept {
     this->count_end();
     this->report = ended.load;
     this->own_calls_at_report = this->own_calls;
+    this->sent_since_report = 0;
     this->reported_at = now;
     this->unanswered = 0;
     this->learn_round_trip(sample - ended.service_time);
@@ -108,6 +111,16 @@
     return std::max(1.0, static_cast<double>(std::min(this->report.limit, this->slots)));
 }
 
+microseconds load_view::rate_wait(instant now) const noexcept {
+    auto wait = this->report.rate_wait - elapsed(this->reported_at, now);
+    if (this->report.calls_per_second) {
+        const double rate = std::max(min_stated_rate, *this->report.calls_per_second);
+        wait += std::chrono::duration_cast<microseconds>(
+            std::chrono::duration<double>{this->sent_since_report / rate});
+    }
+    return std::max(microseconds::zero(), wait);
+}
+
 microseconds load_view::latency(instant now) const noexcept {
     const double decayed_micros =
         this->latency_micros * decay(latency_half_life_seconds, this->latency_at, now);
--- a/src/chervilturn/selection/load_view.hpp
+++ b/src/chervilturn/selection/load_view.hpp
@@ -42,6 +42,10 @@
     /// at least 1.
     [[nodiscard]] double limit(instant now) const noexcept;
 
+    /// @brief Estimated time until the server's rate limits have room for a further call: the last reported
+    /// wait, less its age, plus the share of this entry's calls since then. Zero without a limit.
+    [[nodiscard]] microseconds rate_wait(instant now) const noexcept;
+
     /// @brief Age of the last report; empty before the first one.
     [[nodiscard]] std::optional<microseconds> report_age(instant now) const noexcept {
         return this->reported_at == instant{} ? std::nullopt : std::optional{elapsed(this->reported_at, now)};
@@ -82,6 +86,7 @@
     std::uint32_t own_calls = 0;
     load_report report;
     std::uint32_t own_calls_at_report = 0; // own_calls when the report arrived
+    std::uint32_t sent_since_report = 0;   // calls
     instant reported_at{};
     double latency_micros = 0.0; // smoothed; 0 before the first sample
     instant latency_at{};
--- a/src/chervilturn/selection/policy.cpp
+++ b/src/chervilturn/selection/policy.cpp
@@ -38,7 +38,8 @@
     const double service_time = baseline * view.slowdown(now);
     const double load = view.estimated_calls(now) + 1.0;
     const double limit = view.limit(now);
-    const double queueing = std::max(0.0, load - limit) / limit * service_time;
+    const double slot_wait = std::max(0.0, load - limit) / limit * service_time;
+    const double queueing = std::max(slot_wait, static_cast<double>(view.rate_wait(now).count()));
     const double utilisation_cost = utilisation_cost_weight * service_time * std::min(1.0, load / limit);
     return view.round_trip_micros(default_round_trip_micros.at(distance_index)) + service_time + queueing +
            utilisation_cost + distance_cost.at(distance_index) * soft_deadline +
--- a/src/chervilturn/selection/policy.hpp
+++ b/src/chervilturn/selection/policy.hpp
@@ -94,9 +94,10 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "load_aware"; }
 };
 
-/// @brief Picks the candidate with the shortest expected response time: round trip, queueing and service time
-/// at the host's current slowdown, plus costs for utilisation, distance and recent failures. Distance has a
-/// cost because traffic between data centres is billed by volume.
+/// @brief Picks the candidate with the shortest expected response time: round trip, wait for a slot or for
+/// room in the rate limits, and service time at the host's current slowdown, plus costs for utilisation,
+/// distance and recent failures. Distance has a cost because traffic between data centres is billed by
+/// volume.
 class expected_time final : public policy {
   public:
     std::size_t pick(std::span<const candidate> candidates, const call_estimate& estimate,
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <cstring>
 #include <kj/exception.h>
 #include <kj/io.h>
@@ -173,18 +174,52 @@
     return received;
 }
 
+// Reasons up to this one are known to nodes of every version. Nodes of older versions reject an answer with a
+// later one.
+constexpr auto last_original_reason = reason::backend_renamed;
+
+// The closest reason that nodes of older versions know.
+[[nodiscard]] reason reason_for_older_nodes(reason why) {
+    return why == reason::server_rate_limited ? reason::queue_full : why;
+}
+
+// The reason of an answer; a newer one that this version does not know is replaced by the sender's
+// substitute.
+[[nodiscard]] reason read_reason(wire::Answer::Reader source) {
+    const auto newer = source.getNewerReason();
+    return static_cast<reason>(newer != 0 && newer < reason_count ? newer : source.getReason());
+}
+
+void write_load(wire::Load::Builder target, const load_report& load) {
+    target.setInUse(load.in_use);
+    target.setQueued(load.queued);
+    target.setLimit(load.limit);
+    target.setSlowdownPercent(load.slowdown_percent);
+    target.setRateLimited(load.calls_per_second.has_value());
+    target.setCallsPerSecond(load.calls_per_second.value_or(0.0));
+    target.setRateWaitMicros(to_micros(load.rate_wait));
+}
+
+[[nodiscard]] load_report read_load(wire::Load::Reader source) {
+    const double rate = source.getCallsPerSecond();
+    const bool is_valid_rate = source.getRateLimited() && std::isfinite(rate) && rate >= 0.0;
+    return {.in_use = source.getInUse(),
+            .queued = source.getQueued(),
+            .limit = source.getLimit(),
+            .slowdown_percent = source.getSlowdownPercent(),
+            .calls_per_second = is_valid_rate ? std::optional{rate} : std::nullopt,
+            .rate_wait = from_micros(source.getRateWaitMicros())};
+}
+
 void write_answer(wire::Answer::Builder target, const answer& outgoing) {
     write_attempt(target.initAttempt(), outgoing.attempt);
     target.setOutcome(static_cast<std::uint16_t>(outgoing.result));
-    target.setReason(static_cast<std::uint16_t>(outgoing.why));
+    target.setReason(static_cast<std::uint16_t>(reason_for_older_nodes(outgoing.why)));
+    target.setNewerReason(outgoing.why > last_original_reason ? static_cast<std::uint16_t>(outgoing.why) : 0);
     target.setStatus(outgoing.status);
     write_headers(target.initHeaders(static_cast<unsigned>(outgoing.headers.size())), outgoing.headers);
     target.setBody(to_data(outgoing.body));
-    auto load = target.initLoad();
-    load.setInUse(outgoing.load.in_use);
-    load.setQueued(outgoing.load.queued);
-    load.setLimit(outgoing.load.limit);
-    load.setSlowdownPercent(outgoing.load.slowdown_percent);
+    write_load(target.initLoad(), outgoing.load);
     target.setServiceMicros(static_cast<std::uint64_t>(outgoing.service_time.count()));
     target.setBackendServer(to_text(outgoing.backend_server));
     target.setOwnerHost(to_text(outgoing.owner_host));
@@ -200,14 +235,11 @@
     answer received;
     received.attempt = read_attempt(source.getAttempt());
     received.result = static_cast<outcome>(source.getOutcome());
-    received.why = static_cast<reason>(source.getReason());
+    received.why = read_reason(source);
     received.status = source.getStatus();
     received.headers = read_headers(source.getHeaders());
     received.body = from_data(source.getBody());
-    received.load = {.in_use = source.getLoad().getInUse(),
-                     .queued = source.getLoad().getQueued(),
-                     .limit = source.getLoad().getLimit(),
-                     .slowdown_percent = source.getLoad().getSlowdownPercent()};
+    received.load = read_load(source.getLoad());
     received.service_time = microseconds{static_cast<std::int64_t>(source.getServiceMicros())};
     received.backend_server = from_text(source.getBackendServer());
     received.owner_host = from_text(source.getOwnerHost());
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c75f52b5205473a6, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c75f52b5205473a6, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed1bb632b5e17b2e, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ed1bb632b5e17b2e, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1015,6 +1015,14 @@
 
   inline  ::uint32_t getSlowdownPercent() const;
 
+  inline bool getRateLimited() const;
+
+  inline double getCallsPerSecond() const;
+
+  inline  ::uint64_t getRateWaitMicros() const;
+
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1055,6 +1063,18 @@
   inline  ::uint32_t getSlowdownPercent();
   inline void setSlowdownPercent( ::uint32_t value);
 
+  inline bool getRateLimited();
+  inline void setRateLimited(bool value);
+
+  inline double getCallsPerSecond();
+  inline void setCallsPerSecond(double value);
+
+  inline  ::uint64_t getRateWaitMicros();
+  inline void setRateWaitMicros( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1128,6 +1148,8 @@
 
   inline  ::uint64_t getRetryAfterMicros() const;
 
+  inline  ::uint16_t getNewerReason() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1216,6 +1238,9 @@
   inline  ::uint64_t getRetryAfterMicros();
   inline void setRetryAfterMicros( ::uint64_t value);
 
+  inline  ::uint16_t getNewerReason();
+  inline void setNewerReason( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3326,6 +3351,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 100u);
 }
 
+inline bool Load::Reader::getRateLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getRateLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRateLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Load::Reader::getCallsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Load::Builder::getCallsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setCallsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getRateWaitMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getRateWaitMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRateWaitMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Answer::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3624,6 +3705,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Answer::Reader::getNewerReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Answer::Builder::getNewerReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setNewerReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SubtreeRevision::Reader::hasSubtree() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/chervilturn/node/owner_state_test.cpp
+++ b/test/chervilturn/node/owner_state_test.cpp
@@ -34,6 +34,7 @@
         this->received.service = "s1";
         this->state.accept(settings_with("i-1"));
         this->state.confirm();
+        this->state.set_probed(true);
     }
 
     [[nodiscard]] std::string server() const {
@@ -85,4 +86,12 @@
     CHECK(fixture.state.refusal_reason(fixture.received) == reason::shutting_down);
 }
 
+TEST_CASE("an owner runs no call before its first probe has a result") {
+    owner_fixture fixture;
+    fixture.state.set_probed(false);
+    CHECK(fixture.state.refusal_reason(fixture.received) == reason::backend_unreachable);
+    fixture.state.set_probed(true);
+    CHECK(fixture.state.refusal_reason(fixture.received) == reason::none);
+}
+
 } // namespace chervilturn
--- a/test/chervilturn/selection/selection_test.cpp
+++ b/test/chervilturn/selection/selection_test.cpp
@@ -210,6 +210,43 @@
     }
 }
 
+TEST_CASE("a stated rate limit counts as capacity in the choice") {
+    const instant now{10s};
+    load_view limited{6};
+    limited.on_sent(now);
+    answer ended = refuse({1, 1}, outcome::not_run, reason::server_rate_limited);
+    ended.load = {.limit = 6, .calls_per_second = 10.0, .rate_wait = 300ms};
+    limited.on_answer(ended, 1ms, now);
+
+    SECTION("the wait for room shrinks with time and grows with the calls sent since the report") {
+        CHECK(limited.rate_wait(now) == 300ms);
+        CHECK(limited.rate_wait(now + 100ms) == 200ms);
+        limited.on_sent(now + 100ms);
+        CHECK(limited.rate_wait(now + 100ms) == 300ms);
+        CHECK(limited.rate_wait(now + 2s) == 0s);
+    }
+    SECTION("a server without a limit is chosen over one whose rate has no room") {
+        load_view unlimited{6};
+        unlimited.on_sent(now);
+        answer served;
+        served.result = outcome::completed;
+        served.load = {.in_use = 5, .limit = 6};
+        unlimited.on_answer(served, 1ms, now);
+        expected_time selection;
+        random_source random{1};
+        const std::array<candidate, 2> candidates{
+            candidate{0, distance::same_data_centre, &limited, false},
+            candidate{1, distance::same_data_centre, &unlimited, false}};
+        CHECK(selection.pick(candidates, {.service_time = 50ms}, random, now) == 1);
+    }
+    SECTION("the report of a server without a limit ends the wait") {
+        limited.on_sent(now);
+        ended.load = {.limit = 6};
+        limited.on_answer(ended, 1ms, now);
+        CHECK(limited.rate_wait(now) == 0s);
+    }
+}
+
 TEST_CASE("a traffic split picks its parts in proportion to their weights") {
     random_source random{9};
     const std::vector<split_part> parts{{"a", 90}, {"b", 10}, {"c", 0}};
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -1,8 +1,11 @@
 // Encoding and decoding of messages between nodes, and decoding of corrupted frames.
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/transport/codec.hpp"
+#include "chervilturn/transport/wire.capnp.h"
 
+#include <capnp/serialize-packed.h>
 #include <catch2/catch.hpp>
+#include <limits>
 
 namespace chervilturn {
 
@@ -52,6 +55,32 @@
     CHECK(std::get<answer>(value_of(received_answer)).load.queued == 4);
 }
 
+TEST_CASE("an answer carries the stated rate and a reason that older nodes do not know") {
+    answer refusal = refuse({1, 2}, outcome::not_run, reason::server_rate_limited);
+    refusal.load = {.calls_per_second = 0.5, .rate_wait = 700ms};
+    const auto frame = encode(refusal);
+    const auto received = decode_frame(frame);
+    REQUIRE(succeeded(received));
+    const auto& decoded = std::get<answer>(value_of(received));
+    CHECK(decoded.why == reason::server_rate_limited);
+    CHECK(decoded.load.calls_per_second == 0.5);
+    CHECK(decoded.load.rate_wait == 700ms);
+
+    SECTION("older nodes read a reason that they know") {
+        kj::ArrayInputStream bytes{{reinterpret_cast<const kj::byte*>(frame.data()) + frame_header_bytes,
+                                    frame.size() - frame_header_bytes}};
+        capnp::PackedMessageReader reader{bytes};
+        CHECK(reader.getRoot<wire::Frame>().getAnswer().getReason() ==
+              static_cast<std::uint16_t>(reason::queue_full));
+    }
+    SECTION("a rate that is no number counts as none") {
+        refusal.load.calls_per_second = std::numeric_limits<double>::quiet_NaN();
+        const auto received_nan = decode_frame(encode(refusal));
+        REQUIRE(succeeded(received_nan));
+        CHECK_FALSE(std::get<answer>(value_of(received_nan)).load.calls_per_second);
+    }
+}
+
 TEST_CASE("control messages are unchanged after encoding and decoding") {
     const subscription request{.revisions = {{"t", 4}}, .nonce = 8, .follow = true};
     const auto received_request = decode_frame(encode(request));
