Send no calls to a backend server that says it is leaving

Callers saw: calls went on to a backend server that said in its answers that it was leaving, as long as the store still listed it as ready or the entry was out of touch with the store. Cause: leaving was known from the store and from failed probes only; the statement in answers was read by nobody. Same class of fault as the stated rate, one signal further. Change: the owner drains its backend server while the last probe or the backend server's own statement says so (one place, update_draining), which refuses queued calls at once. Answers carry the statement; an entry leaves out a server that it knows to be leaving, also as the last candidate, for ten seconds after the last such answer or until the owner reports otherwise, then the owner decides. Another backend server at the address starts afresh. After a restart the owner's first probe tells it again before any call runs.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -73,6 +73,7 @@
   rateLimited @4 :Bool;
   callsPerSecond @5 :Float64;  # only with rateLimited
   rateWaitMicros @6 :UInt64;
+  leaving @7 :Bool;
 }
 
 struct Answer {
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -129,6 +129,7 @@
     std::uint32_t slowdown_percent = 100;     // duration of work on the host; 100 is normal speed
     std::optional<double> calls_per_second{}; // rate limit that the backend server states; nothing: none
     microseconds rate_wait{};                 // until the rate limits have room for a further call
+    bool leaving = false;                     // the backend server states that it is leaving
 };
 
 /// @brief The result of one attempt, with the response when the call completed.
--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -76,7 +76,6 @@
         }
         this->last_boot_id = report.boot_id;
     }
-    this->warm_up->on_drain(report.draining);
     this->on_report(report, sent_at);
 }
 
--- a/src/chervilturn/node/backend_probe.hpp
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -12,7 +12,7 @@
 
 /// @brief Probes one backend server and updates its warm-up limit from the results.
 ///
-/// The warm-up limit takes only restart, drain and reachability from a probe, because load figures of probe
+/// The warm-up limit takes only restart and reachability from a probe here, because load figures of probe
 /// endpoints can be late or wrong.
 class backend_probe {
   public:
--- a/src/chervilturn/node/entry_call.cpp
+++ b/src/chervilturn/node/entry_call.cpp
@@ -40,14 +40,14 @@
     std::erase(this->server_history.refused, server);
 }
 
-call entry_call::begin_attempt(const attempt_id& id, const address& owner, instant now) {
+call entry_call::begin_attempt(const attempt_id& id, const backend_server& server, instant now) {
     auto sent = this->accepted.original_call;
     sent.attempt = id;
     sent.remaining = elapsed(now, this->call_deadline);
     sent.until_soft_deadline = std::max(microseconds::zero(), elapsed(now, this->soft_deadline));
     sent.extra_attempts = this->retry_decisions.nested_extra_attempts();
     this->retry_decisions.count_attempt();
-    this->current_attempt = attempt{.id = id, .owner = owner, .sent_at = now};
+    this->current_attempt = attempt{.id = id, .owner = server.node, .server = server.name, .sent_at = now};
     return sent;
 }
 
--- a/src/chervilturn/node/entry_call.hpp
+++ b/src/chervilturn/node/entry_call.hpp
@@ -43,12 +43,13 @@
     void record_selection(const std::string& server, bool last_resort, microseconds baseline);
 
     /// @brief Starts an attempt and returns the call as it is sent to the owner.
-    [[nodiscard]] call begin_attempt(const attempt_id& id, const address& owner, instant now);
+    [[nodiscard]] call begin_attempt(const attempt_id& id, const backend_server& server, instant now);
 
     /// @brief One attempt that has no answer yet.
     struct attempt {
         attempt_id id;
-        address owner; // peer address
+        address owner;      // peer address
+        std::string server; // name of the backend server that was selected
         instant sent_at;
     };
 
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -126,6 +126,7 @@
         return;
     }
     view->second.on_answer(ended, elapsed(ended_attempt.sent_at, now), now);
+    view->second.on_leaving_reported(ended_attempt.server, ended.load.leaving, now);
     if (served) {
         view->second.learn_slowdown(ended.service_time, this->baselines.of(route),
                                     ended.load.slowdown_percent, now);
@@ -191,7 +192,9 @@
                            {"estimated_calls", view.estimated_calls(now)},
                            {"limit", view.limit(now)},
                            {"latency_us", view.latency(now).count()},
-                           {"in_penalty", view.in_penalty(now)}});
+                           {"in_penalty", view.in_penalty(now)},
+                           {"leaving", view.is_leaving(backend.name, now)},
+                           {"rate_wait_us", view.rate_wait(now).count()}});
     }
     request.reply({{"route", matched_route == nullptr ? "" : matched_route->name},
                    {"policy", std::string{this->selection_policy->name()}},
@@ -297,7 +300,7 @@
     const auto now = now_monotonic();
     auto& state = active->state;
     auto attempt = state.begin_attempt({.entry = this->context->incarnation, .sequence = ++this->sequence},
-                                       backend.node, now);
+                                       backend, now);
     auto& view = this->view_of(backend);
     const auto age = view.report_age(now);
     log_call(log_level::info, "attempt_sent",
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -174,7 +174,8 @@
                    {"recorded_attempts", this->attempts.size()},
                    {"beliefs_in_doubt", this->state.is_stale()},
                    {"shutting_down", this->state.is_shutting_down()},
-                   {"stated_rate", rate_text(this->statements.calls_per_second())}});
+                   {"stated_rate", rate_text(this->statements.calls_per_second())},
+                   {"leaving", this->statements.leaving()}});
 }
 
 // Runs before each message, backend answer and queue advance, so that no call is dispatched with settings
@@ -388,7 +389,9 @@
         this->statements.reset();
         this->admission.stated_limit().set_rate(std::nullopt, now);
     }
+    this->probe_says_draining = report.draining;
     this->on_statement(report.statement, sent_at, "probe");
+    this->update_draining();
     if (report.cold_left) {
         if (this->admission.cold_limit().is_cold(now) != (*report.cold_left > microseconds::zero())) {
             log_event(log_level::info, "backend_server_cold",
@@ -419,6 +422,7 @@
     }
     const auto rate = this->statements.calls_per_second();
     this->admission.stated_limit().set_rate(rate, now);
+    this->update_draining();
     log_event(log_level::info, "server_statement_changed",
               {{"server", this->state.server_name()},
                {"calls_per_second", rate_text(rate)},
@@ -427,6 +431,11 @@
                {"source", source}});
 }
 
+// The backend server takes no new calls while its probe report or its own statement says so.
+void owner_task::update_draining() {
+    this->admission.warm_up().on_drain(this->probe_says_draining || this->statements.leaving());
+}
+
 void owner_task::refuse_queued(reason why) {
     for (const auto& removed_entry : this->admission.clear_queue()) {
         this->finish(refuse(removed_entry.attempt, outcome::not_run, why));
@@ -475,6 +484,7 @@
 void owner_task::reply(answer ended) {
     ended.load = this->admission.report();
     ended.load.rate_wait = std::min(max_reported_wait, this->admission.rate_wait(now_monotonic()));
+    ended.load.leaving = this->statements.leaving();
     ended.owner_host = this->context->settings.host;
     if (ended.result != outcome::completed) {
         ++this->context->stats->counters().refusals.at(static_cast<std::size_t>(ended.why));
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -61,6 +61,7 @@
     void on_probe_report(const probe_report& report, instant sent_at);
     // Processes what the backend server states in a response to a call or probe; source is "call" or "probe".
     void on_statement(const server_statement& stated, instant sent_at, const char* source);
+    void update_draining();
     void refuse_queued(reason why);
     void recheck_queued();
     void finish(answer ended);
@@ -73,6 +74,7 @@
     const node_context* context;
     owner_state state;
     server_statements statements;     // of the backend server that the last probe named
+    bool probe_says_draining = false; // in the last probe report
     std::string last_unreadable_rate; // in the latest response; empty when that one was readable
     admission_controller admission;
     attempt_record attempts;
--- a/src/chervilturn/selection/eligibility.cpp
+++ b/src/chervilturn/selection/eligibility.cpp
@@ -61,6 +61,9 @@
             continue;
         }
         const auto& view = view_of(servers[index]);
+        if (view.is_leaving(servers[index].name, now)) {
+            continue;
+        }
         const bool refused = contains(history.refused, servers[index].name);
         const candidate eligible{index, distance_to(request, servers[index]), &view, refused};
         allowed.push_back(eligible);
--- a/src/chervilturn/selection/eligibility.hpp
+++ b/src/chervilturn/selection/eligibility.hpp
@@ -36,9 +36,9 @@
     std::vector<std::string> refused; // their owners were full or too slow; may be chosen again
 };
 
-/// @brief Collects the eligible candidates. Leaves out servers that were tried, and servers in penalty that
-/// are not in history.refused, unless no other server remains; a period of failures therefore never excludes
-/// every server. Empty when no server of the service may receive the call.
+/// @brief Collects the eligible candidates. Leaves out servers that are leaving; also servers that were
+/// tried, and servers in penalty that are not in history.refused, unless no other server remains; a period of
+/// failures therefore never excludes every server. Empty when no server of the service may receive the call.
 [[nodiscard]] std::vector<candidate> eligible_candidates(const eligibility_request& request,
                                                          const call_history& history,
                                                          const view_lookup& view_of, instant now);
--- a/src/chervilturn/selection/load_view.cpp
+++ b/src/chervilturn/selection/load_view.cpp
@@ -25,6 +25,7 @@
 constexpr microseconds busy_penalty = std::chrono::milliseconds{20};       // full, or too late for one call
 constexpr microseconds closed_penalty = std::chrono::seconds{1};           // takes no calls, or is slow
 constexpr microseconds no_answer_penalty = std::chrono::milliseconds{500}; // doubles with each further loss
+constexpr microseconds leaving_validity = std::chrono::seconds{10};        // of an owner's report
 constexpr std::uint32_t max_penalty_doublings = 4;
 
 [[nodiscard]] microseconds penalty_for(reason why) noexcept {
@@ -84,6 +85,15 @@
     this->penalty_until = now + penalty_for(ended.why);
 }
 
+void load_view::on_leaving_reported(const std::string& server, bool leaving, instant now) {
+    if (leaving) {
+        this->leaving_server = server;
+    }
+    if (leaving || server == this->leaving_server) {
+        this->leaving_until = leaving ? now + leaving_validity : instant{};
+    }
+}
+
 void load_view::on_no_answer(instant now) noexcept {
     this->count_end();
     this->penalty_until = now + no_answer_penalty * (1U << std::min(this->unanswered, max_penalty_doublings));
--- a/src/chervilturn/selection/load_view.hpp
+++ b/src/chervilturn/selection/load_view.hpp
@@ -5,6 +5,7 @@
 #include "chervilturn/core/time.hpp"
 
 #include <optional>
+#include <string>
 
 namespace chervilturn {
 
@@ -76,6 +77,16 @@
     /// answer.
     [[nodiscard]] bool in_penalty(instant now) const noexcept { return now < this->penalty_until; }
 
+    /// @brief Stores whether the owner reported that its backend server, named in the settings, is leaving.
+    void on_leaving_reported(const std::string& server, bool leaving, instant now);
+
+    /// @brief Whether a backend server must get no calls because it said that it is leaving. The report holds
+    /// for a while and only for the server of that name; then the owner is asked again, which refuses if it
+    /// still is.
+    [[nodiscard]] bool is_leaving(const std::string& server, instant now) const noexcept {
+        return now < this->leaving_until && server == this->leaving_server;
+    }
+
   private:
     void count_end() noexcept;
     void learn_latency(microseconds sample, instant now) noexcept;
@@ -96,6 +107,8 @@
     double failure_average = 0.0; // smoothed share of failed or shed calls
     instant failures_at{};
     instant penalty_until{};
+    std::string leaving_server;   // name of the server that was last reported as leaving
+    instant leaving_until{};      // end of the time for which that report holds
     std::uint32_t unanswered = 0; // consecutive attempts without an answer
 };
 
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -198,6 +198,7 @@
     target.setRateLimited(load.calls_per_second.has_value());
     target.setCallsPerSecond(load.calls_per_second.value_or(0.0));
     target.setRateWaitMicros(to_micros(load.rate_wait));
+    target.setLeaving(load.leaving);
 }
 
 [[nodiscard]] load_report read_load(wire::Load::Reader source) {
@@ -208,7 +209,8 @@
             .limit = source.getLimit(),
             .slowdown_percent = source.getSlowdownPercent(),
             .calls_per_second = is_valid_rate ? std::optional{rate} : std::nullopt,
-            .rate_wait = from_micros(source.getRateWaitMicros())};
+            .rate_wait = from_micros(source.getRateWaitMicros()),
+            .leaving = source.getLeaving()};
 }
 
 void write_answer(wire::Answer::Builder target, const answer& outgoing) {
--- a/test/chervilturn/node/entry_call_test.cpp
+++ b/test/chervilturn/node/entry_call_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-const address owner{"127.0.0.1", 7000};
+const backend_server owner{.name = "i-1", .node = {"127.0.0.1", 7000}, .data_centre = {}};
 
 struct call_fixture {
     instant start = monotonic_clock::now();
--- a/test/chervilturn/selection/selection_test.cpp
+++ b/test/chervilturn/selection/selection_test.cpp
@@ -102,6 +102,30 @@
     }
 }
 
+TEST_CASE("a backend server that says it is leaving is no candidate, even as the last one") {
+    fixture f;
+    const instant now{10s};
+    const auto& servers = f.target->backend_servers;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        f.views[index].on_leaving_reported(servers[index].name, true, now);
+    }
+    CHECK(f.candidates({}, {}, now).empty());
+
+    SECTION("its owner's later report brings it back") {
+        f.views[1].on_leaving_reported(servers[1].name, false, now + 1s);
+        CHECK(f.candidates({}, {}, now + 1s).size() == 1);
+    }
+    SECTION("another backend server on the same host is a candidate") {
+        CHECK_FALSE(f.views[1].is_leaving("i-new", now));
+        f.views[1].on_leaving_reported("i-new", false, now + 1s);
+        CHECK(f.views[1].is_leaving(servers[1].name, now + 1s));
+    }
+    SECTION("the owner is asked again after a while") {
+        CHECK(f.candidates({}, {}, now + 9s).empty());
+        CHECK(f.candidates({}, {}, now + 11s).size() == 4);
+    }
+}
+
 TEST_CASE("the default policy prefers near servers with a free slot") {
     fixture f;
     random_source random{7};
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -57,7 +57,7 @@
 
 TEST_CASE("an answer carries the stated rate and a reason that older nodes do not know") {
     answer refusal = refuse({1, 2}, outcome::not_run, reason::server_rate_limited);
-    refusal.load = {.calls_per_second = 0.5, .rate_wait = 700ms};
+    refusal.load = {.calls_per_second = 0.5, .rate_wait = 700ms, .leaving = true};
     const auto frame = encode(refusal);
     const auto received = decode_frame(frame);
     REQUIRE(succeeded(received));
@@ -65,6 +65,7 @@
     CHECK(decoded.why == reason::server_rate_limited);
     CHECK(decoded.load.calls_per_second == 0.5);
     CHECK(decoded.load.rate_wait == 700ms);
+    CHECK(decoded.load.leaving);
 
     SECTION("older nodes read a reason that they know") {
         kj::ArrayInputStream bytes{{reinterpret_cast<const kj::byte*>(frame.data()) + frame_header_bytes,
