--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -163,6 +163,14 @@
                        {"error", to_string(this->tree.rejections().at(snapshot.subtree).error)}});
             break;
         case offer_outcome::unchanged:
+            if (!snapshot.leaves.empty()) {
+                log_event(log_level::info, "settings_not_newer",
+                          {{"subtree", snapshot.subtree},
+                           {"revision", snapshot.revision},
+                           {"accepted_revision", revision_of(this->tree.digest(), snapshot.subtree)},
+                           {"leaves", snapshot.leaves.size()},
+                           {"source", source}});
+            }
             break;
         }
     }
