Order configurations by the operator's version

Cause: leaves were ordered by the store's revision alone, although the operator's configuration has an order of its own, config_version, that no restoration touches. Leaves without a version and messages of older nodes keep the order by revision; older nodes ignore the new fields. Measured: tree_test "a leaf's version orders its states before the revision does" is new; before, leaves had no version to state it with.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -96,6 +96,7 @@
 struct SubtreeRevision {
   subtree @0 :Text;
   revision @1 :UInt64;
+  version @2 :UInt64;  # highest of the accepted leaves
 }
 
 # Requests all leaves newer than the listed revisions: once, or also on every later change if follow is set.
@@ -111,6 +112,7 @@
   revision @1 :UInt64;
   removed @2 :Bool;
   value @3 :Text;
+  version @4 :UInt64;  # of the publisher; 0 when it has none
 }
 
 struct SubtreeUpdate {
--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -242,6 +242,14 @@
     return hosts;
 }
 
+[[nodiscard]] publication_version highest_version(const std::vector<leaf>& leaves) {
+    publication_version highest = 0;
+    for (const auto& item : leaves) {
+        highest = std::max(highest, item.version);
+    }
+    return highest;
+}
+
 [[nodiscard]] std::vector<leaf> present_leaves(const std::map<std::string, leaf>& leaves) {
     std::vector<leaf> present;
     for (const auto& [path, stored] : leaves) {
@@ -254,11 +262,27 @@
 
 } // namespace
 
-revision_number revision_of(const std::vector<subtree_revision>& digest, std::string_view subtree) noexcept {
+bool is_newer(const leaf& state, const leaf& other) noexcept {
+    const bool both_versioned = state.version > 0 && other.version > 0;
+    if (both_versioned && state.version != other.version) {
+        return state.version > other.version;
+    }
+    return state.revision > other.revision;
+}
+
+bool may_lack(const subtree_revision& known, const subtree_revision& other) noexcept {
+    return known.revision < other.revision || known.version < other.version;
+}
+
+subtree_revision entry_of(const std::vector<subtree_revision>& digest, std::string_view subtree) {
     const auto listed = std::find_if(digest.begin(), digest.end(), [subtree](const subtree_revision& entry) {
         return entry.subtree == subtree;
     });
-    return listed == digest.end() ? 0 : listed->revision;
+    return listed == digest.end() ? subtree_revision{.subtree = std::string{subtree}} : *listed;
+}
+
+revision_number revision_of(const std::vector<subtree_revision>& digest, std::string_view subtree) {
+    return entry_of(digest, subtree).revision;
 }
 
 std::string subtree_of(std::string_view path) {
@@ -307,8 +331,7 @@
     if (newer || merged) {
         auto error = this->compile(snapshot.subtree, state.candidate, state.candidate_revision);
         if (!error) {
-            state.accepted = state.candidate;
-            state.revision = state.candidate_revision;
+            accept(state, state.candidate, state.candidate_revision);
             if (snapshot.complete) {
                 state.tombstones_since = std::max(state.tombstones_since, snapshot.revision);
             }
@@ -327,7 +350,7 @@
     std::vector<subtree_revision> revisions;
     for (const auto& [name, state] : this->states) {
         if (state.revision > 0) {
-            revisions.push_back({name, state.revision});
+            revisions.push_back({name, state.revision, state.version});
         }
     }
     return revisions;
@@ -336,17 +359,17 @@
 std::vector<subtree_snapshot> settings_tree::newer_than(const std::vector<subtree_revision>& known) const {
     std::vector<subtree_snapshot> updates;
     for (const auto& [name, state] : this->states) {
-        const revision_number known_revision = revision_of(known, name);
-        if (state.revision <= known_revision) {
+        const auto receiver = entry_of(known, name);
+        if (!may_lack(receiver, {.subtree = name, .revision = state.revision, .version = state.version})) {
             continue;
         }
         // A receiver with an older revision may have leaves whose deletion is not recorded here: it gets all
         // leaves and must drop the others.
-        const bool complete = known_revision < state.tombstones_since;
+        const bool complete = receiver.revision < state.tombstones_since;
         subtree_snapshot update{
             .subtree = name, .revision = state.revision, .complete = complete, .leaves = {}};
         for (const auto& [path, accepted] : state.accepted) {
-            if (complete || accepted.revision > known_revision) {
+            if (complete || accepted.revision > receiver.revision || accepted.version > receiver.version) {
                 update.leaves.push_back(accepted);
             }
         }
@@ -359,18 +382,27 @@
 // even while this node has a newer candidate that was rejected.
 bool settings_tree::accept_despite_rejected_candidate(subtree_state& state,
                                                       const subtree_snapshot& snapshot) {
-    if (snapshot.revision <= state.revision) {
+    if (snapshot.revision <= state.revision && highest_version(snapshot.leaves) <= state.version) {
         return false;
     }
     auto leaves = state.accepted;
-    if (!merge(leaves, snapshot) || this->compile(snapshot.subtree, leaves, snapshot.revision)) {
+    const auto revision = std::max(state.revision, snapshot.revision);
+    if (!merge(leaves, snapshot) || this->compile(snapshot.subtree, leaves, revision)) {
         return false;
     }
-    state.accepted = std::move(leaves);
-    state.revision = snapshot.revision;
+    accept(state, std::move(leaves), revision);
     return true;
 }
 
+void settings_tree::accept(subtree_state& state, std::map<std::string, leaf> leaves,
+                           revision_number revision) {
+    state.accepted = std::move(leaves);
+    state.revision = revision;
+    for (const auto& [path, accepted] : state.accepted) {
+        state.version = std::max(state.version, accepted.version);
+    }
+}
+
 bool settings_tree::merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& snapshot) {
     bool newer = false;
     for (const auto& incoming : snapshot.leaves) {
@@ -378,7 +410,7 @@
             continue;
         }
         auto& stored = leaves[incoming.path];
-        if (incoming.revision > stored.revision) {
+        if (is_newer(incoming, stored)) {
             stored = incoming;
             newer = true;
         }
@@ -391,10 +423,16 @@
     for (const auto& item : complete.leaves) {
         listed_paths.insert(item.path);
     }
+    const auto version = highest_version(complete.leaves);
     bool removed = false;
     for (auto& [path, stored] : leaves) {
-        if (!stored.removed && stored.revision <= complete.revision && !listed_paths.contains(path)) {
-            stored = {.path = path, .revision = complete.revision, .removed = true, .value = {}};
+        const bool is_older = stored.revision <= complete.revision && stored.version <= version;
+        if (!stored.removed && is_older && !listed_paths.contains(path)) {
+            stored = {.path = path,
+                      .revision = complete.revision,
+                      .removed = true,
+                      .value = {},
+                      .version = stored.version == 0 ? 0 : version};
             removed = true;
         }
     }
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -15,14 +15,22 @@
 /// @brief Revision assigned by the platform; increases with every change of a leaf.
 using revision_number = std::uint64_t;
 
+/// @brief Number that the publisher of a leaf gives its own versions. A higher one is newer whatever the
+/// revision; 0 when the publisher has none, then the revision decides.
+using publication_version = std::uint64_t;
+
 /// @brief One entry of the tree, such as "teams/teranga/services/passports".
 struct leaf {
     std::string path;
     revision_number revision = 0;
-    bool removed = false; // the leaf was deleted at this revision
-    std::string value;    // JSON, may contain comments; empty when removed
+    bool removed = false;            // the leaf was deleted at this revision
+    std::string value;               // JSON, may contain comments; empty when removed
+    publication_version version = 0; // in which the leaf got this state
 };
 
+/// @brief Whether a state of a leaf is newer than another one of the same leaf.
+[[nodiscard]] bool is_newer(const leaf& state, const leaf& other) noexcept;
+
 /// @brief Leaves of one subtree at a revision: all of them, or only the changed ones.
 struct subtree_snapshot {
     std::string subtree; // a team's name, or "hosts"
@@ -35,8 +43,12 @@
 struct subtree_revision {
     std::string subtree;
     revision_number revision = 0;
+    publication_version version = 0; // highest of the accepted leaves
 };
 
+/// @brief Whether a node with a revision of a subtree lacks something that a node with another one may have.
+[[nodiscard]] bool may_lack(const subtree_revision& known, const subtree_revision& other) noexcept;
+
 /// @brief Last rejection of a subtree: the candidate's revision and the validation error.
 struct subtree_rejection {
     revision_number revision = 0;
@@ -52,16 +64,20 @@
 /// @brief Returns the subtree of a path: the team's name, or "hosts"; empty for a path outside the tree.
 [[nodiscard]] std::string subtree_of(std::string_view path);
 
+/// @brief Returns the entry of a subtree in a digest; one with revision 0 when it is not listed.
+[[nodiscard]] subtree_revision entry_of(const std::vector<subtree_revision>& digest,
+                                        std::string_view subtree);
+
 /// @brief Returns the revision of a subtree in a digest; 0 when it is not listed.
 [[nodiscard]] revision_number revision_of(const std::vector<subtree_revision>& digest,
-                                          std::string_view subtree) noexcept;
+                                          std::string_view subtree);
 
 /// @brief Validates and compiles the leaves of one team; returns the first error if they are not valid.
 [[nodiscard]] result<team, settings_error> check_team(const std::string& name,
                                                       const std::vector<leaf>& leaves);
 
-/// @brief Accepted state of the whole tree. Accepted revisions never decrease, and a rejected subtree does
-/// not affect the others.
+/// @brief Accepted state of the whole tree. Accepted revisions and the versions of leaves never decrease, and
+/// a rejected subtree does not affect the others.
 class settings_tree {
   public:
     /// @brief Merges the snapshot's newer leaves into the subtree's candidate and accepts the candidate if it
@@ -87,12 +103,14 @@
   private:
     struct subtree_state {
         revision_number revision = 0;           // accepted; never decreases
+        publication_version version = 0;        // highest of the accepted leaves; never decreases
         std::map<std::string, leaf> accepted;   // valid as a whole
         std::map<std::string, leaf> candidate;  // accepted plus newer leaves, possibly not valid
         revision_number candidate_revision = 0; // at least revision
         revision_number tombstones_since = 0;   // earlier deletions may have no removed leaf
     };
 
+    static void accept(subtree_state& state, std::map<std::string, leaf> leaves, revision_number revision);
     [[nodiscard]] static bool merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& snapshot);
     [[nodiscard]] static bool remove_unlisted(std::map<std::string, leaf>& leaves,
                                               const subtree_snapshot& complete);
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -104,8 +104,8 @@
 
 void control_task::handle(const describe_request& request) {
     auto subtrees = nlohmann::json::object();
-    for (const auto& [name, revision] : this->tree.digest()) {
-        subtrees[name] = {{"revision", revision}};
+    for (const auto& entry : this->tree.digest()) {
+        subtrees[entry.subtree] = {{"revision", entry.revision}, {"version", entry.version}};
     }
     for (const auto& [name, rejection] : this->tree.rejections()) {
         subtrees[name]["rejected_revision"] = rejection.revision;
@@ -153,7 +153,10 @@
             any_accepted = true;
             ++counters.settings_accepted;
             log_event(log_level::info, "settings_accepted",
-                      {{"subtree", snapshot.subtree}, {"revision", snapshot.revision}, {"source", source}});
+                      {{"subtree", snapshot.subtree},
+                       {"revision", snapshot.revision},
+                       {"version", entry_of(this->tree.digest(), snapshot.subtree).version},
+                       {"source", source}});
             break;
         case offer_outcome::rejected:
             ++counters.settings_rejected;
@@ -324,7 +327,7 @@
     const auto own_revisions = this->tree.digest();
     return std::any_of(peer_revisions.begin(), peer_revisions.end(),
                        [&own_revisions](const subtree_revision& theirs) {
-                           return revision_of(own_revisions, theirs.subtree) < theirs.revision;
+                           return may_lack(entry_of(own_revisions, theirs.subtree), theirs);
                        });
 }
 
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -85,13 +85,14 @@
         auto item = list[static_cast<unsigned>(index)];
         item.setSubtree(to_text(revisions[index].subtree));
         item.setRevision(revisions[index].revision);
+        item.setVersion(revisions[index].version);
     }
 }
 
 [[nodiscard]] subscription read_digest(wire::Digest::Reader source) {
     subscription received{.revisions = {}, .nonce = source.getNonce(), .follow = source.getFollow()};
     for (const auto item : source.getSubtrees()) {
-        received.revisions.push_back({from_text(item.getSubtree()), item.getRevision()});
+        received.revisions.push_back({from_text(item.getSubtree()), item.getRevision(), item.getVersion()});
     }
     return received;
 }
@@ -107,6 +108,7 @@
         item.setRevision(snapshot.leaves[index].revision);
         item.setRemoved(snapshot.leaves[index].removed);
         item.setValue(to_text(snapshot.leaves[index].value));
+        item.setVersion(snapshot.leaves[index].version);
     }
 }
 
@@ -119,7 +121,8 @@
         snapshot.leaves.push_back({.path = from_text(item.getPath()),
                                    .revision = item.getRevision(),
                                    .removed = item.getRemoved(),
-                                   .value = from_text(item.getValue())});
+                                   .value = from_text(item.getValue()),
+                                   .version = item.getVersion()});
     }
     return snapshot;
 }
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -164,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da16f0e0309f9b2f, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(da16f0e0309f9b2f, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -194,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c0e5ed917eb11710, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c0e5ed917eb11710, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1291,6 +1291,8 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline  ::uint64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1329,6 +1331,9 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1473,6 +1478,8 @@
   inline bool hasValue() const;
   inline  ::capnp::Text::Reader getValue() const;
 
+  inline  ::uint64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1521,6 +1528,9 @@
   inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3767,6 +3777,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SubtreeRevision::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubtreeRevision::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SubtreeRevision::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::hasSubtrees() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3925,6 +3949,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Leaf::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Leaf::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Leaf::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SubtreeUpdate::Reader::hasSubtree() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/chervilturn/config/tree_test.cpp
+++ b/test/chervilturn/config/tree_test.cpp
@@ -93,6 +93,57 @@
     }
 }
 
+TEST_CASE("a leaf's version orders its states before the revision does") {
+    const auto snapshot = [](revision_number revision, const std::string& name, publication_version version,
+                             bool complete) {
+        auto item = make_leaf("teams/t/workspaces/" + name, revision, "{}");
+        item.version = version;
+        return subtree_snapshot{.subtree = "t", .revision = revision, .complete = complete, .leaves = {item}};
+    };
+    const auto names = [](const settings_tree& tree) {
+        std::vector<std::string> present;
+        for (const auto& [name, found] : tree.current()->find_team("t")->workspaces) {
+            present.push_back(name);
+        }
+        return present;
+    };
+    settings_tree tree;
+    REQUIRE(tree.offer(snapshot(30, "new", 10, true)) == offer_outcome::accepted);
+
+    SECTION("a complete snapshot of an older version removes no newer leaf, whatever its revision") {
+        static_cast<void>(tree.offer(snapshot(90, "old", 9, true)));
+        CHECK(names(tree) == std::vector<std::string>{"new", "old"});
+        CHECK(entry_of(tree.digest(), "t").version == 10);
+        CHECK(entry_of(tree.digest(), "t").revision == 90);
+    }
+    SECTION("a node with an older version and a higher revision gets the newer leaves") {
+        settings_tree other;
+        REQUIRE(other.offer(snapshot(90, "old", 9, true)) == offer_outcome::accepted);
+        CHECK(may_lack(entry_of(other.digest(), "t"), entry_of(tree.digest(), "t")));
+        for (const auto& update : tree.newer_than(other.digest())) {
+            CHECK(other.offer(update) == offer_outcome::accepted);
+        }
+        CHECK(names(other) == std::vector<std::string>{"new", "old"});
+        CHECK(tree.newer_than(other.digest()).empty());
+    }
+    SECTION("a removal in a newer version holds against a higher revision of an older one") {
+        auto removal = snapshot(31, "new", 11, false);
+        removal.leaves[0].removed = true;
+        REQUIRE(tree.offer(removal) == offer_outcome::accepted);
+        static_cast<void>(tree.offer(snapshot(90, "new", 10, false)));
+        CHECK(names(tree).empty());
+    }
+    SECTION("leaves without a version are ordered by revision, also against a versioned one") {
+        const auto state = [](revision_number revision, publication_version version) {
+            leaf item = make_leaf("teams/t/workspaces/w", revision, "{}");
+            item.version = version;
+            return item;
+        };
+        CHECK(is_newer(state(31, 0), state(30, 10)));
+        CHECK_FALSE(is_newer(state(30, 10), state(30, 0)));
+    }
+}
+
 TEST_CASE("an error message names the invalid member of a leaf") {
     const auto error_for = [](const std::string& path, const std::string& value) {
         const auto checked = check_team("t", {make_leaf(path, 1, value)});
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -83,18 +83,20 @@
 }
 
 TEST_CASE("control messages are unchanged after encoding and decoding") {
-    const subscription request{.revisions = {{"t", 4}}, .nonce = 8, .follow = true};
+    const subscription request{.revisions = {{"t", 4, 12}}, .nonce = 8, .follow = true};
     const auto received_request = decode_frame(encode(request));
     REQUIRE(succeeded(received_request));
     CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).revision == 4);
+    CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).version == 12);
     CHECK(std::get<subscription>(value_of(received_request)).follow);
 
     const settings_update update{
-        .subtrees = {{.subtree = "t", .revision = 3, .leaves = {{"teams/t/routes/r", 3, false, "{}"}}}},
+        .subtrees = {{.subtree = "t", .revision = 3, .leaves = {{"teams/t/routes/r", 3, false, "{}", 12}}}},
         .nonce = 8};
     const auto received_update = decode_frame(encode(update));
     REQUIRE(succeeded(received_update));
     CHECK(std::get<settings_update>(value_of(received_update)).subtrees.at(0).leaves.at(0).value == "{}");
+    CHECK(std::get<settings_update>(value_of(received_update)).subtrees.at(0).leaves.at(0).version == 12);
 
     const key_inquiry_reply reply{.number = 3, .report = {key_finding::fenced, {}}};
     const auto received_reply = decode_frame(encode(reply));
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -24,17 +24,19 @@
   "rows":[["s1","/health",260,"h1",false,3.0,8.6],["s2","/health",260,"h1",false,3.0,8.6]]},
  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-std::vector<leaf> leaves_of(const translation_result& translated) {
-    REQUIRE(succeeded(translated));
+std::vector<leaf> leaves_of(const std::vector<translated_leaf>& translated) {
     std::vector<leaf> leaves;
-    for (const auto& item : value_of(translated)) {
+    leaves.reserve(translated.size());
+    for (const auto& item : translated) {
         leaves.push_back({.path = item.path, .revision = 1, .value = item.value});
     }
     return leaves;
 }
 
 model sample_model() {
-    const auto checked_team = check_team(team_name, leaves_of(translate_config(sample_config)));
+    const auto translated = translate_config(sample_config);
+    REQUIRE(succeeded(translated));
+    const auto checked_team = check_team(team_name, leaves_of(value_of(translated).leaves));
     REQUIRE(succeeded(checked_team));
     model settings;
     settings.teams.emplace(team_name, value_of(checked_team));
@@ -77,6 +79,8 @@
         CHECK_FALSE(succeeded(translate_config("{\"routes\":")));
         CHECK_FALSE(succeeded(translate_config("{\"routes\":{}}")));
         CHECK_FALSE(succeeded(translate_config("[]")));
+        CHECK_FALSE(succeeded(translate_config(
+            R"({"config_version":"x","routes":{"columns":[],"rows":[]},"services":{"columns":[],"rows":[]}})")));
     }
 }
 
