--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -1,5 +1,5 @@
 // Forward declarations of module membership: relay tree, connection health, pause detection, delayed removal
-// of registrations and seed rotation.
+// of registrations, restored platforms and seed rotation.
 #pragma once
 
 namespace chervilturn {
@@ -7,6 +7,8 @@
 struct relay_position;
 class pause_detector;
 class removal_grace;
+struct restored_copy_options;
+class restored_copy;
 struct connection_options;
 class connection_health;
 class seed_rotation;
--- a/test/platform/store_stand_in.cpp
+++ b/test/platform/store_stand_in.cpp
@@ -36,11 +36,6 @@
             {"lease_id", 0}};
 }
 
-void respond(http_exchange& exchange, std::uint16_t status, const json& body) {
-    exchange.respond(
-        {.status = status, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()});
-}
-
 } // namespace
 
 store_stand_in::store_stand_in(event_loop& shared_loop, const store_stand_in_options& store_options)
@@ -99,18 +94,43 @@
     this->hosts.at(host).mode = new_mode;
 }
 
+void store_stand_in::save_copy() {
+    this->copied_items = this->items;
+    this->copied_revision = this->revision;
+}
+
+void store_stand_in::restore() {
+    this->items = this->copied_items;
+    this->revision = this->copied_revision;
+    std::erase_if(this->changes,
+                  [this](const change& past_change) { return past_change.revision > this->revision; });
+    ++this->present_era;
+    this->cut_watches();
+}
+
+void store_stand_in::respond(http_exchange& exchange, std::uint16_t status, const std::string& body) const {
+    http_response response{.status = status, .headers = {{"Content-Type", "application/json"}}, .body = body};
+    if (this->present_era > 0) {
+        response.headers.push_back({"Store-Era", std::to_string(this->present_era)});
+    }
+    exchange.respond(response);
+}
+
 void store_stand_in::cut_watches() {
     this->watches.clear();
 }
 
 void store_stand_in::on_request(const std::string& host, const std::shared_ptr<http_exchange>& exchange) {
     ++this->call_count;
+    if (this->call_handler) {
+        this->call_handler();
+    }
     switch (this->hosts.at(host).mode) {
     case store_mode::down:
-        respond(*exchange, 503, json::object());
+        this->respond(*exchange, 503, "{}");
         return;
     case store_mode::throttled:
-        respond(*exchange, 429, json::object());
+        this->respond(*exchange, 429, "{}");
         return;
     case store_mode::silent:
         this->unanswered_calls.push_back(exchange);
@@ -146,14 +166,14 @@
         const auto key = decode_url(request_target.text("key"));
         const auto found = this->items.find(key);
         if (found == this->items.end()) {
-            respond(*exchange, 404, {{"at_rev", this->revision}});
+            this->respond(*exchange, 404, json({{"at_rev", this->revision}}).dump());
             return;
         }
         auto body = item_json(key, found->second.value, found->second.revision, found->second.created);
         body["at_rev"] = this->revision;
-        respond(*exchange, 200, body);
+        this->respond(*exchange, 200, body.dump());
     } else {
-        respond(*exchange, 400, json::object());
+        this->respond(*exchange, 400, "{}");
     }
 }
 
@@ -170,13 +190,15 @@
         item_list.push_back(
             item_json(found->first, found->second.value, found->second.revision, found->second.created));
     }
-    respond(exchange, 200, {{"items", std::move(item_list)}, {"has_more", more}, {"at_rev", this->revision}});
+    this->respond(
+        exchange, 200,
+        json({{"items", std::move(item_list)}, {"has_more", more}, {"at_rev", this->revision}}).dump());
 }
 
 void store_stand_in::serve_watch(const std::shared_ptr<http_exchange>& exchange, const std::string& prefix,
                                  std::uint64_t after, microseconds wait) {
-    if (after < this->forgotten_revision) {
-        respond(*exchange, 410, json::object());
+    if (after < this->forgotten_revision || after > this->revision) {
+        this->respond(*exchange, 410, "{}");
         return;
     }
     if (this->answer_watch(*exchange, prefix, after, wait == microseconds::zero())) {
@@ -208,7 +230,7 @@
     if (events.empty() && !even_if_empty) {
         return false;
     }
-    respond(exchange, 200, {{"events", std::move(events)}, {"at_rev", this->revision}});
+    this->respond(exchange, 200, json({{"events", std::move(events)}, {"at_rev", this->revision}}).dump());
     return true;
 }
 
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -55,9 +55,22 @@
     /// @brief Discards the history: watches after an earlier revision get status 410.
     void forget_history() { this->forgotten_revision = this->revision; }
 
+    /// @brief Copies all items, for restore().
+    void save_copy();
+
+    /// @brief Returns to the saved copy and begins a new era: revisions since the copy are given out again,
+    /// and watches from a revision that the copy does not have get status 410. Cuts the watches.
+    void restore();
+
     /// @brief Ends the pending watches with status 500.
     void cut_watches();
 
+    /// @brief Sets the era that responses state; 0 states none.
+    void set_era(std::uint64_t era) noexcept { this->present_era = era; }
+
+    /// @brief Sets a handler that is called before each call is served.
+    void on_call(std::function<void()> handler) { this->call_handler = std::move(handler); }
+
     /// @brief Number of calls received, in all modes.
     [[nodiscard]] std::uint64_t reads() const noexcept { return this->call_count; }
 
@@ -85,6 +98,7 @@
         store_mode mode = store_mode::up;
     };
 
+    void respond(http_exchange& exchange, std::uint16_t status, const std::string& body) const;
     void on_request(const std::string& host, const std::shared_ptr<http_exchange>& exchange);
     void serve(const std::shared_ptr<http_exchange>& exchange);
     void serve_range(http_exchange& exchange, const std::string& prefix, const std::string& after) const;
@@ -106,6 +120,10 @@
     std::uint64_t revision = 1;
     std::uint64_t forgotten_revision = 0; // changes up to this revision are not in the history
     std::uint64_t call_count = 0;
+    std::uint64_t present_era = 1;
+    std::function<void()> call_handler; // may be empty
+    std::map<std::string, item> copied_items;
+    std::uint64_t copied_revision = 1; // of the store at save_copy()
     std::list<pending_watch> watches;
     std::vector<std::shared_ptr<http_exchange>> unanswered_calls; // clearing them responds with status 500
     std::list<std::unique_ptr<timer>> delay_timers;               // of calls in store_mode::slow
