--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -419,9 +419,11 @@
 }
 
 bool settings_tree::remove_unlisted(std::map<std::string, leaf>& leaves, const subtree_snapshot& complete) {
-    std::set<std::string_view> listed_paths;
+    std::set<std::string_view> listed_paths; // of the leaves that exist at the snapshot's revision
     for (const auto& item : complete.leaves) {
-        listed_paths.insert(item.path);
+        if (!item.removed) {
+            listed_paths.insert(item.path);
+        }
     }
     const auto version = highest_version(complete.leaves);
     bool removed = false;
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -40,7 +40,8 @@
 }
 
 /// @brief Number that the publisher of a leaf gives its own versions. A higher one is newer whatever the
-/// revision; 0 when the publisher has none, then the revision decides.
+/// revision; 0 when the publisher has none, then the revision decides. A version has at least one leaf, which
+/// shows it in a snapshot.
 using publication_version = std::uint64_t;
 
 /// @brief One entry of the tree, such as "teams/teranga/services/passports".
