--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -326,7 +326,7 @@
 offer_outcome settings_tree::offer(const subtree_snapshot& snapshot) {
     auto& state = this->states[snapshot.subtree];
     const bool newer = snapshot.revision > state.candidate_revision;
-    const bool merged = merge(state.candidate, snapshot);
+    const bool merged = merge(state, state.candidate, snapshot);
     state.candidate_revision = std::max(state.candidate_revision, snapshot.revision);
     if (newer || merged) {
         auto error = this->compile(snapshot.subtree, state.candidate, state.candidate_revision);
@@ -387,7 +387,7 @@
     }
     auto leaves = state.accepted;
     const auto revision = std::max(state.revision, snapshot.revision);
-    if (!merge(leaves, snapshot) || this->compile(snapshot.subtree, leaves, revision)) {
+    if (!merge(state, leaves, snapshot) || this->compile(snapshot.subtree, leaves, revision)) {
         return false;
     }
     accept(state, std::move(leaves), revision);
@@ -403,15 +403,24 @@
     }
 }
 
-bool settings_tree::merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& snapshot) {
+bool settings_tree::is_known_absent(const subtree_state& state, const leaf& incoming) noexcept {
+    return incoming.revision <= state.tombstones_since && incoming.version <= state.version;
+}
+
+bool settings_tree::merge(const subtree_state& state, std::map<std::string, leaf>& leaves,
+                          const subtree_snapshot& snapshot) {
     bool newer = false;
     for (const auto& incoming : snapshot.leaves) {
         if (subtree_of(incoming.path) != snapshot.subtree) {
             continue;
         }
-        auto& stored = leaves[incoming.path];
-        if (is_newer(incoming, stored)) {
-            stored = incoming;
+        const auto stored = leaves.find(incoming.path);
+        const bool is_held = stored != leaves.end();
+        const bool exists_here = is_held && !stored->second.removed;
+        const bool is_accepted = (!is_held || is_newer(incoming, stored->second)) &&
+                                 (exists_here || !is_known_absent(state, incoming));
+        if (is_accepted) {
+            leaves.insert_or_assign(incoming.path, incoming);
             newer = true;
         }
     }
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -136,7 +136,13 @@
     };
 
     static void accept(subtree_state& state, std::map<std::string, leaf> leaves, revision_number revision);
-    [[nodiscard]] static bool merge(std::map<std::string, leaf>& leaves, const subtree_snapshot& snapshot);
+    // Whether a leaf that does not exist in the state is known to be outdated: an accepted complete snapshot
+    // of its revision or a later one did not list it.
+    [[nodiscard]] static bool is_known_absent(const subtree_state& state, const leaf& incoming) noexcept;
+    // Merges the snapshot's newer leaves into leaves, which are the candidate or the accepted ones of the
+    // state.
+    [[nodiscard]] static bool merge(const subtree_state& state, std::map<std::string, leaf>& leaves,
+                                    const subtree_snapshot& snapshot);
     [[nodiscard]] static bool remove_unlisted(std::map<std::string, leaf>& leaves,
                                               const subtree_snapshot& complete);
     [[nodiscard]] bool accept_despite_rejected_candidate(subtree_state& state,
--- a/test/chervilturn/config/tree_exchange_test.cpp
+++ b/test/chervilturn/config/tree_exchange_test.cpp
@@ -76,7 +76,8 @@
 
 struct simulated_node {
     settings_tree tree;
-    revision_number read_revision = 0; // 0: it has read nothing
+    revision_number read_revision = 0;       // 0: it has read nothing
+    std::vector<subtree_snapshot> in_flight; // sent to this node and not delivered yet
 
     void read(const simulated_platform& source) {
         static_cast<void>(this->tree.offer(
@@ -105,7 +106,7 @@
     source.publish(random);
     for (int step = 0; step < 120; ++step) {
         auto& node = nodes[random.index(nodes.size())];
-        switch (random.index(6)) {
+        switch (random.index(8)) {
         case 0:
             source.publish(random);
             break;
@@ -118,9 +119,17 @@
         case 3:
             node = {};
             break;
+        case 4:
+        case 5:
+            if (!node.in_flight.empty()) { // replies of different peers arrive in any order
+                const auto position = random.index(node.in_flight.size());
+                static_cast<void>(node.tree.offer(node.in_flight[position]));
+                node.in_flight.erase(node.in_flight.begin() + static_cast<std::ptrdiff_t>(position));
+            }
+            break;
         default:
-            for (const auto& update : nodes[random.index(nodes.size())].tree.newer_than(node.tree.digest())) {
-                static_cast<void>(node.tree.offer(update));
+            for (auto& update : nodes[random.index(nodes.size())].tree.newer_than(node.tree.digest())) {
+                node.in_flight.push_back(std::move(update));
             }
         }
         for (const auto& checked : nodes) {
