Soak: backend servers that state a rate, or say that they are leaving

Change: the stand-in backend server states a rate or its leaving in all responses; two faults; the invariant stated_rate with the users' bound (one and a half times, and five, in four seconds, from four seconds after it was stated, requests of hosts left alone); leaving is judged by the check of draining servers. The checker's test plants the fault and shows it red, and green at the bound.

--- a/test/platform/backend_stand_in.cpp
+++ b/test/platform/backend_stand_in.cpp
@@ -388,6 +388,12 @@
             std::to_string(this->running_jobs) + ',' + std::to_string(waiting_jobs) + ',' +
             std::to_string(this->options.slots) + ',' +
             std::to_string(static_cast<int>(this->slowdown * 100)) + "\r\n" + extra_headers;
+    if (this->stated_rate) {
+        text += std::string{headers::calls_per_second} + ": " + std::to_string(*this->stated_rate) + "\r\n";
+    }
+    if (this->says_leaving) {
+        text += std::string{headers::leaving} + ": 1\r\n";
+    }
     text += has_length ? "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
                        : std::string{"Connection: close\r\n\r\n"};
     return text + body;
--- a/test/platform/backend_stand_in.hpp
+++ b/test/platform/backend_stand_in.hpp
@@ -9,6 +9,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace chervilturn::test {
@@ -71,12 +72,14 @@
     /// @brief Begins a cold start, in which requests take three times as long.
     void become_cold();
 
-    double slowdown = 1.0;           // factor of the time that requests take
-    double fault_share = 0.0;        // share of responses with a fault
-    bool closes_connections = false; // closes the connection after one proper response in four
-    bool refuses = false;            // refuses every request as not run
-    bool fails_probes = false;       // fails probes although it serves requests
-    bool passes_probes = false;      // passes probes although it refuses requests
+    double slowdown = 1.0;               // factor of the time that requests take
+    double fault_share = 0.0;            // share of responses with a fault
+    bool closes_connections = false;     // closes the connection after one proper response in four
+    bool refuses = false;                // refuses every request as not run
+    std::optional<double> stated_rate{}; // requests a second, stated in every response; empty: none
+    bool says_leaving = false;           // in every response
+    bool fails_probes = false;           // fails probes although it serves requests
+    bool passes_probes = false;          // passes probes although it refuses requests
 
     [[nodiscard]] const std::string& name() const noexcept { return this->id; }
     [[nodiscard]] const backend_options& server_options() const noexcept { return this->options; }
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -15,6 +15,9 @@
 constexpr auto max_server_fault_time = 4s;
 constexpr auto max_drain_time = 4s; // longer than the drain bound of 3 s, until which requests may arrive
 constexpr auto max_evacuation_time = 8s;
+constexpr auto max_stated_rate_time = 14s; // a rate counts four seconds after it was stated
+constexpr double min_stated_rate = 0.2;
+constexpr double max_stated_rate = 12.0; // requests a second
 constexpr auto max_overload_time = 3s;
 constexpr double max_load_factor = 8.0; // of the usual request rate
 constexpr double min_duration_share = 0.2;
@@ -63,6 +66,8 @@
         {"answers_spoiled", 4, [](faults& injector, host& member) { injector.corrupt_answers(member); }},
         {"server_slow", 3, [](faults& injector, host& member) { injector.slow_down(member); }},
         {"server_lies", 2, [](faults& injector, host& member) { injector.misreport(member); }},
+        {"server_states_rate", 3, [](faults& injector, host& member) { injector.state_rate(member); }},
+        {"server_says_leaving", 2, [](faults& injector, host& member) { injector.say_leaving(member); }},
         {"server_crashed", 2, [](faults& injector, host& member) { injector.crash(member); }},
         {"server_replaced", 3, [](faults& injector, host& member) { injector.replace(member); }},
         {"server_cold", 2, [](faults& injector, host& member) { injector.cool(member); }},
@@ -272,6 +277,37 @@
     });
 }
 
+void faults::state_rate(host& member) {
+    if (member.server->stated_rate || !member.server->running()) {
+        return;
+    }
+    const auto rate = this->random.uniform(min_stated_rate, max_stated_rate);
+    const auto name = member.server->name();
+    member.server->stated_rate = rate;
+    this->checker->on_rate_stated(name, rate, monotonic_clock::now());
+    this->schedule_end(max_stated_rate_time, [this, &member, name] {
+        member.server->stated_rate.reset();
+        this->checker->on_rate_ended(name);
+    });
+}
+
+// The backend server leaves without a word to the store; another one then starts at the same address.
+void faults::say_leaving(host& member) {
+    if (member.draining || !member.server->running()) {
+        return;
+    }
+    const auto name = member.server->name();
+    member.server->says_leaving = true;
+    this->checker->on_draining(name, monotonic_clock::now());
+    this->schedule_end(max_drain_time, [this, &member, name] {
+        member.server->says_leaving = false;
+        if (member.server->name() == name) {
+            this->cluster->crash_server(member);
+            this->cluster->start_server(member, true);
+        }
+    });
+}
+
 void faults::crash(host& member) {
     this->cluster->crash_server(member);
     this->schedule_end(max_server_fault_time, [this, &member] { this->cluster->start_server(member, true); });
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -65,6 +65,8 @@
     void corrupt_answers(host& member);
     void slow_down(host& member);
     void misreport(host& member);
+    void state_rate(host& member);
+    void say_leaving(host& member);
     void crash(host& member);
     void replace(host& member);
     void cool(host& member);
--- a/test/soak/invariant_checker.cpp
+++ b/test/soak/invariant_checker.cpp
@@ -35,10 +35,10 @@
 
 const char* to_string(invariant value) noexcept {
     static constexpr std::array<const char*, invariant_count> names{
-        "run_once",         "true_refusal",   "whole_answer",     "known_request", "allowed_service",
-        "home_regions",     "leaving_server", "evacuated_centre", "cold_rate",     "settings_in_time",
-        "settings_forward", "retry_budget",   "max_attempts",     "time_left",     "caller_left",
-        "answer_in_time",   "planned_stop",   "keeps_running",    "served_again"};
+        "run_once",         "true_refusal",     "whole_answer",     "known_request", "allowed_service",
+        "home_regions",     "leaving_server",   "evacuated_centre", "cold_rate",     "stated_rate",
+        "settings_in_time", "settings_forward", "retry_budget",     "max_attempts",  "time_left",
+        "caller_left",      "answer_in_time",   "planned_stop",     "keeps_running", "served_again"};
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -105,6 +105,7 @@
     if (!event.misdirected) {
         this->check_placement(call, event);
         this->check_cold_rate(event);
+        this->check_stated_rate(call, event);
     }
     if (event.time_left) {
         ++this->arrivals_with_time_left;
@@ -175,6 +176,29 @@
     }
 }
 
+// Counts the requests of entries that were left alone since the rate was stated; another entry may not know
+// it.
+void invariant_checker::check_stated_rate(const call_record& call, const test::arrival& event) {
+    const auto found = this->stated_rates.find(event.server);
+    if (found == this->stated_rates.end() || event.at < found->second.since + this->limits.rate_notice ||
+        !this->is_undisturbed(call.request.entry, event.at, event.at)) {
+        return;
+    }
+    auto& [per_second, since, recent] = found->second;
+    recent.push_back(event.at);
+    std::erase_if(recent, [&](instant at) { return event.at - at >= this->limits.rate_window; });
+    if (event.at < since + this->limits.reconnect_time || !this->count_check(invariant::stated_rate)) {
+        return;
+    }
+    const double bound = per_second * to_seconds(this->limits.rate_window) * this->limits.rate_overshoot +
+                         this->limits.rate_slack;
+    if (static_cast<double>(recent.size()) > bound) {
+        this->report(invariant::stated_rate, event.server + " received " + std::to_string(recent.size()) +
+                                                 " requests in one window although it takes " +
+                                                 std::to_string(per_second) + " a second");
+    }
+}
+
 void invariant_checker::on_work_ended(const std::string& id, instant at) {
     const auto found = this->calls.find(id);
     if (found != this->calls.end()) {
--- a/test/soak/invariant_checker.hpp
+++ b/test/soak/invariant_checker.hpp
@@ -23,6 +23,7 @@
     leaving_server,   // a draining backend server receives no request after the drain bound
     evacuated_centre, // an evacuated data centre receives no request after the evacuation bound
     cold_rate,        // the request rate of a cold backend server stays within its limit
+    stated_rate,      // a backend server gets no more requests than it states that it can take
     settings_in_time, // a configuration is in force within its bound
     settings_forward, // a node never returns to an older configuration
     retry_budget,     // retries stay within the budget of the fleet
@@ -35,7 +36,7 @@
     served_again,     // requests are served again after the last fault
 };
 
-inline constexpr std::size_t invariant_count = 19;
+inline constexpr std::size_t invariant_count = 20;
 
 /// @brief The name under which an invariant is printed.
 [[nodiscard]] const char* to_string(invariant value) noexcept;
@@ -63,8 +64,12 @@
     double cold_per_second = 8.6; // requests a second that a cold backend server accepts
     double cold_overshoot = 1.5;  // factor on that rate
     double cold_slack = 8.0;      // requests in one second on top of it
-    double budget_ratio = 0.2;    // retries for each request
-    double retry_slack = 24.0;    // retries in one window on top of that
+    double rate_overshoot = 1.5;  // factor on the rate that a backend server states
+    double rate_slack = 5.0;      // requests in one window on top of it
+    microseconds rate_window = std::chrono::seconds{4};
+    microseconds rate_notice = std::chrono::milliseconds{500}; // until a stated rate counts
+    double budget_ratio = 0.2;                                 // retries for each request
+    double retry_slack = 24.0;                                 // retries in one window on top of that
     microseconds budget_window = std::chrono::seconds{10};
     std::uint32_t max_attempts = 2; // backend servers for each request
     double served_share = 0.95;     // of the requests after the last fault, for each route
@@ -98,6 +103,11 @@
         this->allowed_services[route].insert(service);
     }
     void on_draining(const std::string& server, instant acknowledged) { this->drains[server] = acknowledged; }
+    /// @brief A backend server begins to state a rate, or ends to.
+    void on_rate_stated(const std::string& server, double per_second, instant at) {
+        this->stated_rates[server] = {per_second, at, {}};
+    }
+    void on_rate_ended(const std::string& server) { this->stated_rates.erase(server); }
     void on_evacuated(const std::string& data_centre, instant acknowledged) {
         this->evacuations[data_centre] = acknowledged;
     }
@@ -132,6 +142,11 @@
         instant cancelled_at{};
         bool from_retry = false; // it was sent by a run that was a retry, or by a descendant of one
     };
+    struct rate_statement {
+        double per_second = 0.0;
+        instant since{};
+        std::vector<instant> arrivals; // of the latest window, from entries that must keep to the rate
+    };
     using call_entry = std::pair<const std::string, call_record>;
 
     void report(invariant violated, std::string detail);
@@ -144,6 +159,7 @@
     void check_run(const call_record& call, const test::arrival& event);
     void check_placement(const call_record& call, const test::arrival& event);
     void check_cold_rate(const test::arrival& event);
+    void check_stated_rate(const call_record& call, const test::arrival& event);
     void check_answer(const call_record& call);
     void check_version(const call_record& call);
     void check_planned_stop(const call_record& call);
@@ -161,6 +177,7 @@
     std::map<std::string, instant> drains;                         // start, by backend server
     std::map<std::string, instant> evacuations;                    // start, by data centre
     std::map<std::string, instant> cold_until;                     // by backend server
+    std::map<std::string, rate_statement> stated_rates;            // by backend server
     std::map<std::string, std::vector<instant>> cold_arrivals;     // of the latest second, by backend server
     // First time at which a node routed by a version, by "host#lifetime" and version.
     std::map<std::string, std::map<std::uint32_t, instant>> routed_versions;
--- a/test/soak/invariant_checker_test.cpp
+++ b/test/soak/invariant_checker_test.cpp
@@ -192,6 +192,24 @@
         }
         CHECK(run.violates(invariant::cold_rate));
     }
+    SECTION("a backend server receives more requests than it states") {
+        run.checker.on_rate_stated("i-2", 2.0, run.at(10s));
+        for (int count = 0; count < 18; ++count) {
+            run.serve(run.make_request(14s + count * 20ms));
+        }
+        CHECK(run.violates(invariant::stated_rate));
+    }
+    SECTION("a backend server may receive the requests that it states, and more before that counts") {
+        for (int count = 0; count < 40; ++count) {
+            run.serve(run.make_request(9s + count * 30ms));
+        }
+        run.checker.on_rate_stated("i-2", 2.0, run.at(10s));
+        for (int count = 0; count < 17; ++count) {
+            run.serve(run.make_request(14s + count * 20ms));
+        }
+        CHECK_FALSE(run.violates(invariant::stated_rate));
+        CHECK(run.checker.checked(invariant::stated_rate) > 0);
+    }
     SECTION("a cold backend server may receive requests at its limit") {
         run.checker.on_cold("i-2", run.at(20s));
         for (int count = 0; count < 40; ++count) {
