Soak: a store that is restored from a copy

Change: a fault that copies the store, lets it go on for up to five seconds, takes it away for up to one, restores the copy in a new era, and lets operator and backend servers write again within one more second. The existing checks judge it: settings in time and forward, leaving servers, evacuated data centres.

--- a/test/platform/store_stand_in.cpp
+++ b/test/platform/store_stand_in.cpp
@@ -108,6 +108,16 @@
     this->cut_watches();
 }
 
+std::vector<std::string> store_stand_in::keys(const std::string& prefix) const {
+    std::vector<std::string> found;
+    for (const auto& [key, stored] : this->items) {
+        if (key.starts_with(prefix)) {
+            found.push_back(key);
+        }
+    }
+    return found;
+}
+
 void store_stand_in::respond(http_exchange& exchange, std::uint16_t status, const std::string& body) const {
     http_response response{.status = status, .headers = {{"Content-Type", "application/json"}}, .body = body};
     if (this->present_era > 0) {
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -65,6 +65,9 @@
     /// @brief Ends the pending watches with status 500.
     void cut_watches();
 
+    /// @brief The keys that begin with a prefix.
+    [[nodiscard]] std::vector<std::string> keys(const std::string& prefix) const;
+
     /// @brief Sets the era that responses state; 0 states none.
     void set_era(std::uint64_t era) noexcept { this->present_era = era; }
 
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -16,6 +16,9 @@
 constexpr auto max_drain_time = 4s; // longer than the drain bound of 3 s, until which requests may arrive
 constexpr auto max_evacuation_time = 8s;
 constexpr auto max_stated_rate_time = 14s; // a rate counts four seconds after it was stated
+constexpr auto max_copy_age = 5s;
+constexpr auto max_restoration_time = 1s;
+constexpr auto max_rewrite_time = 1s; // after a restoration, until operator and backend servers write again
 constexpr double min_stated_rate = 0.2;
 constexpr double max_stated_rate = 12.0; // requests a second
 constexpr auto max_overload_time = 3s;
@@ -56,6 +59,7 @@
         {"store_loses_answers", 1,
          [](faults& injector, host&) { injector.inject_store_fault(test::store_mode::lost_answers); }},
         {"store_forgets", 2, [](faults& injector, host&) { injector.cluster->store().forget_history(); }},
+        {"store_restored", 2, [](faults& injector, host&) { injector.restore_store(); }},
         {"watches_cut", 2, [](faults& injector, host&) { injector.cluster->store().cut_watches(); }},
         {"odd_entry", 1, [](faults& injector, host&) { injector.write_odd_entry(); }},
         {"node_killed", 3, [](faults& injector, host& member) { injector.kill(member); }},
@@ -211,6 +215,32 @@
     }
 }
 
+// The store goes away for a moment and returns from a copy of some seconds before.
+void faults::restore_store() {
+    if (this->store_disturbed) {
+        return;
+    }
+    this->store_disturbed = true;
+    this->cluster->store().save_copy();
+    this->schedule_end(max_copy_age, [this] {
+        this->checker->on_disturbed("", monotonic_clock::now());
+        this->cluster->set_store_reachable(false);
+        this->cluster->store().set_mode(test::store_mode::down);
+        this->schedule_end(max_restoration_time, [this] { this->end_restoration(); });
+    });
+}
+
+void faults::end_restoration() {
+    this->cluster->store().restore();
+    this->cluster->store().set_mode(test::store_mode::up);
+    this->schedule_end(max_rewrite_time, [this] {
+        this->store_disturbed = false;
+        this->cluster->set_store_reachable(true);
+        this->cluster->write_again();
+        this->checker->on_undisturbed("", monotonic_clock::now());
+    });
+}
+
 void faults::kill(host& member) {
     this->disturb(member);
     this->cluster->kill_node(member);
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -57,6 +57,8 @@
     void refuse_store_calls(host& member);
     void inject_store_fault(test::store_mode mode);
     void remove_some_entries();
+    void restore_store();
+    void end_restoration();
     void kill(host& member);
     void lose_power();
     void stop(host& member);
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -384,13 +384,15 @@
                         {"max_body_bytes", 1'000'000},
                         {"header_timeout_ms", 3000},
                         {"idle_timeout_ms", 15000}}}};
-    this->metadata_store.put("op/config", config.dump());
+    this->current_config = config.dump();
+    this->metadata_store.put("op/config", this->current_config);
     this->current_version = next_version;
     this->checker->on_configuration(next_version, monotonic_clock::now());
 }
 
 void fleet::evacuate(const std::string& data_centre) {
     if (this->store_reachable) {
+        this->evacuated.insert(data_centre);
         this->metadata_store.put("op/evacuate/" + data_centre, "{}");
         this->checker->on_evacuated(data_centre, monotonic_clock::now());
     }
@@ -398,7 +400,35 @@
 
 void fleet::end_evacuation(const std::string& data_centre) {
     this->checker->on_evacuation_ended(data_centre);
+    this->evacuated.erase(data_centre);
     this->metadata_store.remove("op/evacuate/" + data_centre);
 }
 
+void fleet::write_again() {
+    this->metadata_store.put("op/config", this->current_config);
+    for (const auto& data_centre : this->data_centre_names) {
+        if (this->evacuated.contains(data_centre)) {
+            this->metadata_store.put("op/evacuate/" + data_centre, "{}");
+        } else {
+            this->metadata_store.remove("op/evacuate/" + data_centre);
+        }
+    }
+    std::set<std::string> running_servers;
+    for (auto& member : this->host_list) {
+        if (member.server->running()) {
+            running_servers.insert(member.server->name());
+            this->write_server_entry(member);
+        }
+    }
+    for (const auto& key : this->metadata_store.keys("servers/i-")) {
+        const auto name = key.substr(std::string_view{"servers/"}.size());
+        const bool is_listed =
+            std::any_of(this->ended_servers.begin(), this->ended_servers.end(),
+                        [&name](const ended_server& server) { return server.name == name; });
+        if (!running_servers.contains(name) && !is_listed) {
+            this->ended_servers.push_back({name, 0});
+        }
+    }
+}
+
 } // namespace chervilturn::soak
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -90,6 +90,9 @@
     void publish_configuration();
     void evacuate(const std::string& data_centre);
     void end_evacuation(const std::string& data_centre);
+    /// @brief Writes again what a restored store may lack: the latest configuration, evacuations and entries.
+    /// Entries of backend servers that ended are removed after the usual number of heartbeats.
+    void write_again();
     /// @brief Whether the soak itself can write entries and configurations.
     void set_store_reachable(bool reachable) { this->store_reachable = reachable; }
 
@@ -132,6 +135,8 @@
     bool shutting_down = false;
     std::vector<ended_server> ended_servers;
     std::uint32_t current_version = 0;
+    std::string current_config;        // text of that version
+    std::set<std::string> evacuated;   // data centres
     std::uint64_t started_servers = 0; // makes names of backend servers unique
     std::set<std::string> ready_hosts; // hosts whose latest readiness check succeeded
     timer heartbeat_timer;
