--- a/src/chervilturn/observe/trace.cpp
+++ b/src/chervilturn/observe/trace.cpp
@@ -38,9 +38,14 @@
 }
 
 [[nodiscard]] std::string load_text(const log_line& line) {
+    const auto rate = field_value(line, "stated_rate");
+    const auto rate_text = rate.empty() || rate == "none"
+                               ? std::string{}
+                               : ", stated limit " + rate + " calls a second (room in " +
+                                     field_value(line, "rate_wait_us") + " us)";
     return field_value(line, "in_use") + " running, " + field_value(line, "queued") + " queued, limit " +
            field_value(line, "limit") + ", service times at " + field_value(line, "slowdown_percent") +
-           "% of the baseline";
+           "% of the baseline" + rate_text;
 }
 
 [[nodiscard]] std::string no_retry_text(const std::string& cause) {
--- a/test/chervilturn/observe/trace_test.cpp
+++ b/test/chervilturn/observe/trace_test.cpp
@@ -66,6 +66,18 @@
         CHECK(cause.find("h7 refused it (deadline_too_near) with 5 running, 10 queued, limit 6") == 0);
         CHECK(cause.find("too little time was left before its deadline") != std::string::npos);
     }
+    SECTION("refused because of the rate that the backend server states") {
+        const auto cause =
+            cause_in(attempt_line +
+                         log_text(1, "h7",
+                                  "event=call_refused request=a reason=server_rate_limited stated_rate=5.0 "
+                                  "rate_wait_us=400000 " +
+                                      load_fields) +
+                         log_text(2, "h1", "event=call_ended request=a outcome=not-run reason=queue_full"),
+                     "a");
+        CHECK(cause.find("(server_rate_limited)") != std::string::npos);
+        CHECK(cause.find("stated limit 5.0 calls a second (room in 400000 us)") != std::string::npos);
+    }
     SECTION("dispatched without an answer in time") {
         const auto cause =
             cause_in(attempt_line + log_text(1, "h7", "event=call_admitted request=a " + load_fields) +
