Move the check of a replaced backend server out of the owner's constructor

Cause: the constructor of owner_task held a decision of its own in a lambda. Change: on_call_statement; behaviour as before. Measured: unit tests pass.

--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -43,13 +43,7 @@
                                                }},
       backend{shared_context, this->admission,
               [this](const attempt_id& attempt, const server_statement& stated, instant sent_at) {
-                  const auto found = this->calls.find(attempt);
-                  const bool same_server =
-                      found != this->calls.end() && (this->state.server_name().empty() ||
-                                                     found->second.server_name == this->state.server_name());
-                  if (same_server) {
-                      this->on_statement(stated, sent_at, "call");
-                  }
+                  this->on_call_statement(attempt, stated, sent_at);
               }},
       pauses{now_monotonic()}, advance_timer{*shared_context.loop, [this] { this->advance(); }},
       probe{shared_context, this->backend.http(), this->admission.warm_up(),
@@ -405,6 +399,16 @@
     this->state.set_probed(!this->probe.awaits_first_result());
 }
 
+// Ignores the response of a backend server that was replaced since the call was sent.
+void owner_task::on_call_statement(const attempt_id& attempt, const server_statement& stated,
+                                   instant sent_at) {
+    const auto found = this->calls.find(attempt);
+    const auto& named = this->state.server_name();
+    if (found != this->calls.end() && (named.empty() || found->second.server_name == named)) {
+        this->on_statement(stated, sent_at, "call");
+    }
+}
+
 void owner_task::on_statement(const server_statement& stated, instant sent_at, const char* source) {
     const auto previous_rate = this->statements.calls_per_second();
     if (!stated.unreadable_rate.empty()) {
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -59,6 +59,7 @@
     void dispatch(const attempt_id& attempt);
     void on_backend_answer(answer ended);
     void on_probe_report(const probe_report& report, instant sent_at);
+    void on_call_statement(const attempt_id& attempt, const server_statement& stated, instant sent_at);
     // Processes what the backend server states in a response to a call or probe; source is "call" or "probe".
     void on_statement(const server_statement& stated, instant sent_at, const char* source);
     void update_draining();
