Scenarios: one function warms the backend servers, and counts are taken in order

Cause: three scenarios spelled out the same wait; the new ones read a count before the time that bounds it, and could miss a call on its way to the backend server. Change: load_until_warm in the prelude; the time is taken first, one answer of the backend server is awaited before a count. No check or bound changed.

--- a/test/scenarios/leaving_host.lua
+++ b/test/scenarios/leaving_host.lua
@@ -8,9 +8,7 @@
 local lookup = { service = "passports", deadline_ms = 2000 }
 
 -- Both backend servers are warm before the change, so that calls go to both.
-f:load_until("both backend servers are warm", 15, f.node_list, lookup, 16, function()
-  return f:status(leaving_node).owner.state == "warm" and f:status(other_node).owner.state == "warm"
-end)
+f:load_until_warm(lookup)
 f:publish_host(leaving_node, "leaving")
 local changed_at = now()
 f:load_until("a few seconds passed", few_seconds + 1, f.node_list, lookup, 16, function()
--- a/test/scenarios/leaving_statement.lua
+++ b/test/scenarios/leaving_statement.lua
@@ -7,9 +7,7 @@
 local leaving_node, other_node = f.node_list[1], f.node_list[2]
 local lookup = { service = "passports", deadline_ms = 2000 }
 
-f:load_until("both backend servers are warm", 15, f.node_list, lookup, 16, function()
-  return f:status(leaving_node).owner.state == "warm" and f:status(other_node).owner.state == "warm"
-end)
+f:load_until_warm(lookup)
 
 f:set_backend(leaving_node, "leaving=1")
 f:load_until("the owner knows that its backend server is leaving", few_seconds, f.node_list, lookup, 16, function()
@@ -18,6 +16,7 @@
 f:load_until("running calls ended", few_seconds, f.node_list, lookup, 16, function()
   return f:backend_stats(leaving_node).in_use == 0
 end)
+f:backend_stats(leaving_node) -- a call on its way to the backend server is counted before the next answer
 local left_runs = f:backend_stats(leaving_node).total_runs
 signal(leaving_node.pid, "KILL")
 f:start_node(leaving_node)
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -248,6 +248,16 @@
   return result.status == 200 and parse_json(result.body) or nil
 end
 
+-- Sends load through all nodes until their owners regard every backend server as warm.
+function fleet_methods:load_until_warm(call)
+  self:load_until("all backend servers are warm", 15, self.node_list, call, 16, function()
+    for _, node in ipairs(self.node_list) do
+      if self:status(node).owner.state ~= "warm" then return false end
+    end
+    return true
+  end)
+end
+
 -- The number of nodes that read the platform themselves.
 function fleet_methods:reader_count()
   local readers = 0
--- a/test/scenarios/stated_rate_limit.lua
+++ b/test/scenarios/stated_rate_limit.lua
@@ -9,12 +9,11 @@
 local rate = 5
 local burst = 1 -- calls that may start at once under the limit
 
-f:load_until("both backend servers are warm", 15, f.node_list, lookup, 16, function()
-  return f:status(limited_node).owner.state == "warm" and f:status(other_node).owner.state == "warm"
-end)
+f:load_until_warm(lookup)
 
 -- Runs of the limited backend server while both nodes, or one, pass on load for some seconds.
 local function runs_under_load(entries, seconds)
+  f:backend_stats(limited_node) -- a call on its way to the backend server is counted before the next answer
   local started_at = now()
   local runs_before = f:backend_stats(limited_node).total_runs
   f:load_until(seconds .. " s passed", seconds + 3, entries, lookup, 16, function()
@@ -37,7 +36,8 @@
 f:load_until("the owner takes calls again", start_timeout, { other_node }, lookup, 16, function()
   return f:metric(limited_node, "server_rate_limit") == rate
 end)
-local stats_before, restarted_at = f:backend_stats(limited_node).total_runs, now()
+local restarted_at = now()
+local stats_before = f:backend_stats(limited_node).total_runs
 f:load_until("4 s passed", 7, { other_node }, lookup, 16, function() return now() > restarted_at + 4 end)
 runs = f:backend_stats(limited_node).total_runs - stats_before
 check(runs <= rate * (now() - restarted_at) + burst, "the limit holds after a restart of the node, not " .. runs)
