--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -13,9 +13,9 @@
 // How much earlier than the entry the owner times out.
 constexpr microseconds reply_margin = std::chrono::milliseconds{5};
 constexpr std::int64_t reply_margin_divisor = 10; // the margin is at most a tenth of the remaining time
-// During a pause of this length, settings may have moved a key's home to another owner and back.
 // Longest wait for room in a rate that is reported to entries, so that each asks again in time.
 constexpr microseconds max_reported_wait = std::chrono::seconds{1};
+// During a pause of this length, settings may have moved a key's home to another owner and back.
 constexpr microseconds long_pause = std::chrono::seconds{19};
 
 // The owner times out slightly before the entry, so that its answer reaches the entry in time.
