Let no call start under a stated rate of zero, whatever a higher rate has left

Cause: a changed rate keeps the tokens that are left. Under 0.5 a second the bucket holds one call; when it was full as the rate became zero, that call still started. Ruled out: a call on its way (one answer of the backend server is awaited before the count); a late response (a looser rate counts only if its request was sent after the stricter one arrived). Change: the bucket of a rate of zero holds nothing.

--- a/src/chervilturn/admission/stated_rate_limit.cpp
+++ b/src/chervilturn/admission/stated_rate_limit.cpp
@@ -13,7 +13,7 @@
 
 void stated_rate_limit::set_rate(std::optional<double> new_rate, instant now) {
     if (new_rate) {
-        const double capacity = std::max(1.0, *new_rate * burst_seconds);
+        const double capacity = *new_rate > 0.0 ? std::max(1.0, *new_rate * burst_seconds) : 0.0;
         const double tokens = this->calls_per_second ? this->bucket.level(now) : 0.0;
         this->bucket = token_bucket{
             {.tokens_per_second = *new_rate, .capacity = capacity, .now = now, .initial_tokens = tokens}};
--- a/test/chervilturn/admission/stated_rate_limit_test.cpp
+++ b/test/chervilturn/admission/stated_rate_limit_test.cpp
@@ -60,6 +60,13 @@
         CHECK(calls_started(limit, start, 60s) == 0);
         CHECK(limit.wait_after(0, start) == stated_rate_limit::unlimited_wait);
     }
+    SECTION("a rate of zero uses up the room that a higher rate has left") {
+        limit.set_rate(0.5, start);
+        REQUIRE(limit.has_room(start + 10s));
+        limit.set_rate(0.0, start + 10s);
+        CHECK_FALSE(limit.has_room(start + 10s));
+        CHECK(limit.wait_after(0, start + 10s) == stated_rate_limit::unlimited_wait);
+    }
     SECTION("a very large rate does not limit") {
         limit.set_rate(9e11, start);
         CHECK(calls_started(limit, start + 1ms, 1s) == 1000);
