Log the size and the duration of each step of a change

Ruled out so far: the readers get the change late. All nine had it 0.2 s after the acknowledgement.

Change: settings_sent, settings_received and settings_applied; settings_accepted says leaves and time. No logic changes.

--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -148,7 +148,10 @@
     bool any_accepted = false;
     auto& counters = this->context->stats->counters();
     for (const auto& snapshot : snapshots) {
-        switch (this->tree.offer(snapshot)) {
+        const auto started_at = now_monotonic();
+        const auto outcome = this->tree.offer(snapshot);
+        const auto took = elapsed(started_at, now_monotonic());
+        switch (outcome) {
         case offer_outcome::accepted:
             any_accepted = true;
             ++counters.settings_accepted;
@@ -156,7 +159,9 @@
                       {{"subtree", snapshot.subtree},
                        {"revision", snapshot.revision},
                        {"version", entry_of(this->tree.digest(), snapshot.subtree).version},
-                       {"source", source}});
+                       {"source", source},
+                       {"leaves", snapshot.leaves.size()},
+                       {"took_us", took.count()}});
             break;
         case offer_outcome::rejected:
             ++counters.settings_rejected;
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -55,6 +55,7 @@
 }
 
 void entry_task::handle(const settings_changed& message) {
+    const auto started_at = now_monotonic();
     this->settings = message.settings;
     this->configure_server();
     std::map<address, load_view> updated;
@@ -69,6 +70,8 @@
     }
     this->load_views = std::move(updated);
     this->baselines.retain([this](const std::string& route) { return this->route_exists(route); });
+    log_event(log_level::info, "settings_applied",
+              {{"task", "entry"}, {"took_us", elapsed(started_at, now_monotonic()).count()}});
 }
 
 void entry_task::handle(const attempt_ended& message) {
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -57,11 +57,14 @@
 }
 
 void owner_task::handle(const settings_changed& message) {
+    const auto started_at = now_monotonic();
     this->state.accept(message.settings);
     this->keys.update_settings(*message.settings);
     this->configure_admission();
     this->state.set_probed(!this->probe.awaits_first_result());
     this->recheck_queued();
+    log_event(log_level::info, "settings_applied",
+              {{"task", "owner"}, {"took_us", elapsed(started_at, now_monotonic()).count()}});
 }
 
 void owner_task::handle(const settings_stale&) {
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -13,6 +13,16 @@
 constexpr microseconds connect_timeout = std::chrono::milliseconds{500};
 constexpr microseconds idle_timeout = std::chrono::seconds{60};
 
+void log_update(const address& peer, const settings_update& update, const frame_arrival& arrival) {
+    if (!update.subtrees.empty()) {
+        log_event(log_level::info, "settings_received",
+                  {{"peer", to_string(peer)},
+                   {"leaves", leaf_count(update)},
+                   {"bytes", arrival.bytes},
+                   {"transfer_us", arrival.transfer_time.count()}});
+    }
+}
+
 } // namespace
 
 peer_client_task::peer_client_task(const node_context& shared)
@@ -115,8 +125,8 @@
     connection->set_handlers(
         {.opened = [] {},
          .received =
-             [this, peer, generation](message&& received, std::size_t bytes) {
-                 this->on_message(peer, generation, std::move(received), bytes);
+             [this, peer, generation](message&& received, const frame_arrival& arrival) {
+                 this->on_message(peer, generation, std::move(received), arrival);
              },
          .closed = [this, peer,
                     generation](close_cause cause) { this->on_closed(peer, generation, cause); }});
@@ -149,14 +159,14 @@
 }
 
 void peer_client_task::on_message(const address& peer, std::uint64_t generation, message&& received,
-                                  std::size_t bytes) {
+                                  const frame_arrival& arrival) {
     const auto found = this->links.find(peer);
     if (found == this->links.end()) {
         return;
     }
     auto& target = found->second;
     if (is_control(received)) {
-        this->context->stats->counters().control_bytes_received += bytes;
+        this->context->stats->counters().control_bytes_received += arrival.bytes;
     }
     if (generation == target.current_generation) {
         target.health.on_received(now_monotonic());
@@ -165,6 +175,7 @@
         overloaded{[&](const hello& item) { this->on_introduced(target, generation, item); },
                    [&](const answer& item) { this->on_answer(target, item); },
                    [&](settings_update& item) {
+                       log_update(target.peer, item, arrival);
                        this->context->mailboxes->control.post(update_received{target.peer, std::move(item)});
                    },
                    [&](key_inquiry_reply& item) { this->context->mailboxes->owner.post(std::move(item)); },
--- a/src/chervilturn/node/peer_server_task.cpp
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -45,8 +45,20 @@
 
 void peer_server_task::handle(const send_update& request) {
     const auto found = this->connections.find(request.subscriber);
-    if (found != this->connections.end()) {
-        this->send_control(*found->second.connection, request.update);
+    if (found == this->connections.end()) {
+        return;
+    }
+    auto& connection = *found->second.connection;
+    const auto started_at = now_monotonic();
+    const auto backlog = connection.backlog();
+    const auto bytes = this->send_control(connection, request.update);
+    if (!request.update.subtrees.empty()) {
+        log_event(log_level::info, "settings_sent",
+                  {{"peer", to_string(found->second.peer_address)},
+                   {"leaves", leaf_count(request.update)},
+                   {"bytes", bytes},
+                   {"backlog", backlog},
+                   {"took_us", elapsed(started_at, now_monotonic()).count()}});
     }
 }
 
@@ -62,8 +74,8 @@
     connection->set_handlers(
         {.opened = [] {},
          .received =
-             [this, connection_number](message&& received, std::size_t bytes) {
-                 this->on_message(connection_number, std::move(received), bytes);
+             [this, connection_number](message&& received, const frame_arrival& arrival) {
+                 this->on_message(connection_number, std::move(received), arrival);
              },
          .closed = [this,
                     connection_number](close_cause cause) { this->on_closed(connection_number, cause); }});
@@ -76,13 +88,14 @@
     this->connections.emplace(connection_number, accepted_connection{std::move(connection), 0, {}});
 }
 
-void peer_server_task::on_message(std::uint64_t connection_number, message&& received, std::size_t bytes) {
+void peer_server_task::on_message(std::uint64_t connection_number, message&& received,
+                                  const frame_arrival& arrival) {
     const auto found = this->connections.find(connection_number);
     if (found == this->connections.end()) {
         return;
     }
     if (is_control(received)) {
-        this->context->stats->counters().control_bytes_received += bytes;
+        this->context->stats->counters().control_bytes_received += arrival.bytes;
     }
     if (found->second.incarnation == 0 && !std::holds_alternative<hello>(received)) {
         this->reject(connection_number, "first message is not a hello");
@@ -153,8 +166,10 @@
                                                       : this->connections.at(found->second).connection.get();
 }
 
-void peer_server_task::send_control(peer_connection& connection, const message& outgoing) {
-    this->context->stats->counters().control_bytes_sent += connection.send(outgoing);
+std::size_t peer_server_task::send_control(peer_connection& connection, const message& outgoing) {
+    const auto bytes = connection.send(outgoing);
+    this->context->stats->counters().control_bytes_sent += bytes;
+    return bytes;
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/node/peer_server_task.hpp
+++ b/src/chervilturn/node/peer_server_task.hpp
@@ -33,12 +33,12 @@
     void handle(const return_key_report& request);
 
     void on_accepted(std::shared_ptr<peer_connection> connection);
-    void on_message(std::uint64_t connection_number, message&& received, std::size_t bytes);
+    void on_message(std::uint64_t connection_number, message&& received, const frame_arrival& arrival);
     void on_introduced(std::uint64_t connection_number, const hello& peer_hello);
     void on_closed(std::uint64_t connection_number, close_cause cause);
     void reject(std::uint64_t connection_number, const char* violation);
     [[nodiscard]] peer_connection* newest_connection(std::uint64_t incarnation);
-    void send_control(peer_connection& connection, const message& outgoing);
+    std::size_t send_control(peer_connection& connection, const message& outgoing);
 
     const node_context* context;
     std::unique_ptr<peer_listener> listener;
--- a/src/chervilturn/transport/message.cpp
+++ b/src/chervilturn/transport/message.cpp
@@ -1,8 +1,16 @@
-// Classification of messages as control or call traffic.
+// Classification and size of messages.
 #include "chervilturn/transport/message.hpp"
 
+#include <numeric>
+
 namespace chervilturn {
 
+std::size_t leaf_count(const settings_update& update) noexcept {
+    return std::accumulate(
+        update.subtrees.begin(), update.subtrees.end(), std::size_t{0},
+        [](std::size_t sum, const subtree_snapshot& snapshot) { return sum + snapshot.leaves.size(); });
+}
+
 bool is_control(const message& item) noexcept {
     return !std::holds_alternative<call>(item) && !std::holds_alternative<answer>(item);
 }
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -61,6 +61,9 @@
     std::uint64_t nonce = 0; // of the subscription; 0 in an unsolicited update
 };
 
+/// @brief Number of leaves in all subtrees of an update.
+[[nodiscard]] std::size_t leaf_count(const settings_update& update) noexcept;
+
 /// @brief Asks an earlier home of an idempotency key for its record of the key. The earlier home does not
 /// run calls with this key afterwards.
 struct key_inquiry {
--- a/src/chervilturn/transport/peer_connection.cpp
+++ b/src/chervilturn/transport/peer_connection.cpp
@@ -89,6 +89,12 @@
 void peer_connection::on_readable() {
     const auto guard = this->shared_from_this();
     while (this->stream != nullptr && this->deliver_frame()) {
+        this->frame_started_at.reset();
+    }
+    if (this->stream == nullptr || evbuffer_get_length(bufferevent_get_input(this->stream)) == 0) {
+        this->frame_started_at.reset();
+    } else if (!this->frame_started_at) {
+        this->frame_started_at = monotonic_clock::now();
     }
 }
 
@@ -114,7 +120,10 @@
         return false;
     }
     this->received_frame = true;
-    this->events.received(value_of(std::move(decoded)), total);
+    const auto now = monotonic_clock::now();
+    this->events.received(
+        value_of(std::move(decoded)),
+        {.bytes = total, .transfer_time = elapsed(this->frame_started_at.value_or(now), now)});
     return true;
 }
 
--- a/src/chervilturn/transport/peer_connection.hpp
+++ b/src/chervilturn/transport/peer_connection.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 struct bufferevent;
 struct evconnlistener;
@@ -16,11 +17,17 @@
 /// @brief Why a connection ended. Refused means that it was never established.
 enum class close_cause { ended_by_peer, refused, malformed_frame };
 
+/// @brief What a connection knows about a frame that it received.
+struct frame_arrival {
+    std::size_t bytes = 0;        // length prefix included
+    microseconds transfer_time{}; // from the read that brought its first byte to the one that completed it
+};
+
 /// @brief Event handlers of a connection.
 struct connection_handlers {
     std::function<void()> opened; // an outgoing connection was established
-    std::function<void(message&&, std::size_t frame_bytes)> received; // frame_bytes include the length prefix
-    std::function<void(close_cause)> closed;                          // not called after close()
+    std::function<void(message&&, const frame_arrival&)> received;
+    std::function<void(close_cause)> closed; // not called after close()
 };
 
 /// @brief A connection to a peer, either opened by this node or accepted from the peer.
@@ -65,7 +72,8 @@
 
     bufferevent* stream; // null once closed
     bool connected = false;
-    bool received_frame = false; // a frame was decoded; before, only a short one is accepted
+    bool received_frame = false;             // a frame was decoded; before, only a short one is accepted
+    std::optional<instant> frame_started_at; // of the frame that is incomplete; empty when there is none
     connection_handlers events;
 };
 
--- a/test/chervilturn/transport/peer_connection_test.cpp
+++ b/test/chervilturn/transport/peer_connection_test.cpp
@@ -32,7 +32,7 @@
         peer_listener::listen(loop, listen_address, [&](std::shared_ptr<peer_connection> connection) {
             accepted = std::move(connection);
             accepted->set_handlers({.opened = {},
-                                    .received = [&received](message&&, std::size_t) { ++received; },
+                                    .received = [&received](message&&, const frame_arrival&) { ++received; },
                                     .closed = [&closed](close_cause cause) { closed = cause; }});
         });
     REQUIRE(succeeded(listener));
