--- a/stand_ins/relay.cpp
+++ b/stand_ins/relay.cpp
@@ -1,5 +1,6 @@
 // Program that runs one relay stand-in.
-// Control requests: POST /control/set?mode=pass|freeze_open|freeze_all|one_way|cut&delay_ms=. Every response
+// Control requests: POST /control/set?mode=pass|freeze_open|freeze_all|one_way|cut&delay_ms=&rate=
+// (bytes a second in each direction, 0 for no limit). Every response
 // holds the number of open connections.
 #include "stand_ins/relay.hpp"
 
@@ -19,6 +20,9 @@
     if (url.has("delay_ms")) {
         relay.set_delay(std::chrono::milliseconds{url.number("delay_ms", 0)});
     }
+    if (url.has("rate")) {
+        relay.set_rate(static_cast<std::uint64_t>(url.number("rate", 0)));
+    }
     if (url.has("mode")) {
         relay.set_mode(url.text("mode"));
     }
--- a/stand_ins/relay.hpp
+++ b/stand_ins/relay.hpp
@@ -1,4 +1,4 @@
-// Stand-in for a network path: a TCP relay that can cut, freeze and delay connections.
+// Stand-in for a network path: a TCP relay that can cut, freeze, delay and slow down connections.
 #pragma once
 
 #include "chervilturn/core/address.hpp"
@@ -21,6 +21,29 @@
 
 class relay_stand_in;
 
+/// @brief One direction of a link that all connections of a relay share. It has a rate and a queue without
+/// limit, as a host's network card with large buffers.
+class shared_link {
+  public:
+    /// @brief Sets the rate in bytes a second; 0 for a link without limit.
+    void set_rate(std::uint64_t bytes_per_second) { this->rate = bytes_per_second; }
+
+    [[nodiscard]] bool is_limited() const noexcept { return this->rate > 0; }
+
+    /// @brief Queues bytes behind all earlier ones and returns when the link has carried them.
+    [[nodiscard]] instant carry(std::size_t bytes, instant now) {
+        this->free_at = std::max(this->free_at, now);
+        if (this->rate > 0) {
+            this->free_at += std::chrono::microseconds{bytes * 1'000'000 / this->rate};
+        }
+        return this->free_at;
+    }
+
+  private:
+    std::uint64_t rate = 0; // bytes a second; 0 for no limit
+    instant free_at{};      // when all bytes queued so far are carried
+};
+
 /// @brief One direction of a relayed connection. Delays bytes and keeps their order, also when the delay
 /// changes.
 class delayed_stream {
@@ -33,25 +56,37 @@
         this->target = to;
     }
 
-    /// @brief Takes the bytes that the source has received and writes them to the target after the delay.
-    void forward(microseconds delay) {
+    /// @brief Takes the bytes that the source has received and writes them to the target after the link has
+    /// carried them and the delay has passed.
+    void forward(shared_link& link, microseconds delay) {
         auto* input = bufferevent_get_input(this->source);
+        if (link.is_limited()) {
+            while (evbuffer_get_length(input) > 0) {
+                this->take_chunk(std::min(evbuffer_get_length(input), carried_at_once), link, delay);
+            }
+            return;
+        }
         if (delay == microseconds::zero() && this->chunks.empty()) {
             bufferevent_write_buffer(this->target, input);
             return;
         }
-        std::string bytes(evbuffer_get_length(input), '\0');
-        if (bytes.empty()) {
-            return;
+        if (evbuffer_get_length(input) > 0) {
+            this->take_chunk(evbuffer_get_length(input), link, delay);
         }
-        evbuffer_remove(input, bytes.data(), bytes.size());
-        const auto now = monotonic_clock::now();
-        const auto earliest = this->chunks.empty() ? now : this->chunks.back().deliver_at;
-        this->chunks.push_back({std::max(earliest, now + delay), std::move(bytes)});
-        this->schedule_delivery();
     }
 
   private:
+    static constexpr std::size_t carried_at_once = 1460; // bytes, a TCP segment
+
+    void take_chunk(std::size_t length, shared_link& link, microseconds delay) {
+        std::string bytes(length, '\0');
+        evbuffer_remove(bufferevent_get_input(this->source), bytes.data(), length);
+        const auto carried_at = link.carry(length, monotonic_clock::now());
+        const auto earliest = this->chunks.empty() ? carried_at : this->chunks.back().deliver_at;
+        this->chunks.push_back({std::max(earliest, carried_at + delay), std::move(bytes)});
+        this->schedule_delivery();
+    }
+
     struct chunk {
         instant deliver_at;
         std::string bytes;
@@ -122,6 +157,12 @@
 
     void set_delay(microseconds new_delay) { this->delay = new_delay; }
 
+    /// @brief Sets the rate of the links in both directions, in bytes a second; 0 for no limit.
+    void set_rate(std::uint64_t bytes_per_second) {
+        this->inbound.set_rate(bytes_per_second);
+        this->outbound.set_rate(bytes_per_second);
+    }
+
     /// @brief Sets the mode; an unknown name acts like pass, except that frozen connections stay frozen.
     void set_mode(const std::string& new_mode) {
         this->mode = new_mode;
@@ -166,9 +207,9 @@
 
     void forward(connection_pair& pair) {
         if (this->mode != "one_way") {
-            pair.to_target.forward(this->delay);
+            pair.to_target.forward(this->inbound, this->delay);
         }
-        pair.to_client.forward(this->delay);
+        pair.to_client.forward(this->outbound, this->delay);
     }
 
     static void on_read(bufferevent*, void* self) {
@@ -190,6 +231,8 @@
     evconnlistener* listener = nullptr;
     std::string mode = "pass";
     microseconds delay{0};
+    shared_link inbound;  // to the target
+    shared_link outbound; // to the clients
     std::list<std::shared_ptr<connection_pair>> pairs;
 };
 
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -213,6 +213,11 @@
   http { method = "POST", address = address_of(node.relay_control_port), target = "/control/set?mode=" .. mode }
 end
 
+-- Sets the rate of a node's network link, in bytes a second in each direction; 0 for no limit.
+function fleet_methods:set_relay_rate(node, rate)
+  http { method = "POST", address = address_of(node.relay_control_port), target = "/control/set?rate=" .. rate }
+end
+
 -- Waits until a node has settings of the team and the hosts, confirmed by its peers or the platform.
 function fleet_methods:wait_until_ready(node)
   wait_until(node.name .. " has settings and they are not stale", start_timeout, function()
