--- a/src/chervilturn/config/fwd.hpp
+++ b/src/chervilturn/config/fwd.hpp
@@ -7,6 +7,7 @@
 struct settings_error;
 struct node_settings;
 struct leaf;
+class team_compiler;
 struct subtree_snapshot;
 class settings_tree;
 struct backend_server;
