Count the bytes of a long message as a sign of life

Callers saw: calls ended as unknown with connection_lost although both hosts ran.

Cause: the silence of a connection was measured between whole messages.

Change: peer_connection reports bytes of an incomplete frame; they end the silence as a message does.

Conclusion: a slow peer is suspect only when nothing arrives.

--- a/src/chervilturn/membership/connection_health.hpp
+++ b/src/chervilturn/membership/connection_health.hpp
@@ -56,7 +56,8 @@
 
     void on_connected(instant now) noexcept;
 
-    /// @brief Any message was received: the silence ends, and a suspect connection is healthy again.
+    /// @brief A message or a part of one was received: the silence ends, and a suspect connection is healthy
+    /// again.
     void on_received(instant now) noexcept;
 
     void on_failed() noexcept { this->machine.apply(connection_event::failed); }
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -126,6 +126,7 @@
              [this, peer, generation](message&& received, const frame_arrival& arrival) {
                  this->on_message(peer, generation, std::move(received), arrival);
              },
+         .progressed = [this, peer, generation] { this->on_progress(peer, generation); },
          .closed = [this, peer,
                     generation](close_cause cause) { this->on_closed(peer, generation, cause); }});
     const auto& settings = this->context->settings;
@@ -186,6 +187,14 @@
         received);
 }
 
+// A long message that is on its way shows that the peer lives, although its pongs wait behind it.
+void peer_client_task::on_progress(const address& peer, std::uint64_t generation) {
+    const auto found = this->links.find(peer);
+    if (found != this->links.end() && generation == found->second.current_generation) {
+        found->second.health.on_received(now_monotonic());
+    }
+}
+
 void peer_client_task::on_introduced(link& target, std::uint64_t generation, const hello& peer_hello) {
     if (generation == target.replacement_generation) {
         this->switch_to_replacement(target, peer_hello.incarnation);
--- a/src/chervilturn/node/peer_client_task.hpp
+++ b/src/chervilturn/node/peer_client_task.hpp
@@ -65,6 +65,7 @@
     void open_replacement(link& target);
     void on_message(const address& peer, std::uint64_t generation, message&& received,
                     const frame_arrival& arrival);
+    void on_progress(const address& peer, std::uint64_t generation);
     void on_closed(const address& peer, std::uint64_t generation, close_cause cause);
     void on_introduced(link& target, std::uint64_t generation, const hello& peer_hello);
     void switch_to_replacement(link& target, std::uint64_t owner_incarnation);
--- a/src/chervilturn/node/peer_server_task.cpp
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -84,6 +84,7 @@
              [this, connection_number](message&& received, const frame_arrival& arrival) {
                  this->on_message(connection_number, std::move(received), arrival);
              },
+         .progressed = [] {},
          .closed = [this,
                     connection_number](close_cause cause) { this->on_closed(connection_number, cause); }});
     const auto& settings = this->context->settings;
--- a/src/chervilturn/transport/peer_connection.cpp
+++ b/src/chervilturn/transport/peer_connection.cpp
@@ -93,9 +93,14 @@
     }
     if (this->stream == nullptr || evbuffer_get_length(bufferevent_get_input(this->stream)) == 0) {
         this->frame_started_at.reset();
-    } else if (!this->frame_started_at) {
+        return;
+    }
+    if (!this->frame_started_at) {
         this->frame_started_at = monotonic_clock::now();
     }
+    if (this->events.progressed) {
+        this->events.progressed();
+    }
 }
 
 bool peer_connection::deliver_frame() {
--- a/src/chervilturn/transport/peer_connection.hpp
+++ b/src/chervilturn/transport/peer_connection.hpp
@@ -27,6 +27,7 @@
 struct connection_handlers {
     std::function<void()> opened; // an outgoing connection was established
     std::function<void(message&&, const frame_arrival&)> received;
+    std::function<void()> progressed;        // bytes arrived of a frame that is not complete yet
     std::function<void(close_cause)> closed; // not called after close()
 };
 
--- a/test/chervilturn/transport/peer_connection_test.cpp
+++ b/test/chervilturn/transport/peer_connection_test.cpp
@@ -28,11 +28,13 @@
     std::shared_ptr<peer_connection> accepted;
     std::optional<close_cause> closed;
     std::size_t received = 0;
+    std::size_t progressed = 0;
     auto listener =
         peer_listener::listen(loop, listen_address, [&](std::shared_ptr<peer_connection> connection) {
             accepted = std::move(connection);
             accepted->set_handlers({.opened = {},
                                     .received = [&received](message&&, const frame_arrival&) { ++received; },
+                                    .progressed = [&progressed] { ++progressed; },
                                     .closed = [&closed](close_cause cause) { closed = cause; }});
         });
     REQUIRE(succeeded(listener));
@@ -51,6 +53,21 @@
         REQUIRE(wait_for(loop, [&] { return closed.has_value(); }));
         CHECK(*closed == close_cause::malformed_frame);
     }
+    SECTION("a frame that arrives slowly shows progress before it is complete") {
+        answer large = refuse({1, 2}, outcome::completed, reason::none);
+        large.body = std::string(100'000, 'x');
+        const auto frame = encode(large);
+        peer.write({greeting.begin(), greeting.end()});
+        REQUIRE(wait_for(loop, [&] { return received == 1; }));
+        CHECK(progressed == 0);
+        peer.write(frame.substr(0, 20));
+        REQUIRE(wait_for(loop, [&] { return progressed == 1; }));
+        peer.write(frame.substr(20, 20));
+        REQUIRE(wait_for(loop, [&] { return progressed == 2; }));
+        CHECK(received == 1);
+        peer.write(frame.substr(40));
+        REQUIRE(wait_for(loop, [&] { return received == 2; }));
+    }
     SECTION("a large frame after a hello is received") {
         answer large = refuse({1, 2}, outcome::completed, reason::none);
         large.body = std::string(100'000, 'x');
