Cancel again on the next connection, and fence attempts that are cancelled before they arrive

Callers saw: work went on for callers that had left (GONE).

Cause: a cancellation was forgotten as it was written. When its connection was replaced or lost right after, nothing told the owner; an owner that got a cancellation before the call (the call still on the earlier connection) or while the call waited for its key ignored it. Class of fault: a message whose loss nobody notices.

Change: peer_client_task keeps a cancelled attempt for two seconds or until the owner answers, and cancels it again on each new connection. An owner fences an attempt that it does not know and withdraws a call that waits for its key.

--- a/src/chervilturn/node/key_resolver.cpp
+++ b/src/chervilturn/node/key_resolver.cpp
@@ -70,6 +70,12 @@
     this->on_resolved(std::move(received), decision);
 }
 
+bool key_resolver::withdraw(const attempt_id& attempt) {
+    return std::erase_if(this->pending_calls, [&attempt](const auto& numbered) {
+               return numbered.second.received.attempt == attempt;
+           }) > 0;
+}
+
 void key_resolver::begin(const call& received) {
     this->record.begin(scoped_key(received), read_clocks());
 }
--- a/src/chervilturn/node/key_resolver.hpp
+++ b/src/chervilturn/node/key_resolver.hpp
@@ -36,6 +36,9 @@
     /// their reply time-out passed.
     void resolve(call&& received, const team& owning_team, const service& target, const region_set& regions);
 
+    /// @brief Drops a call that waits for replies of earlier homes; false if none with this attempt does.
+    [[nodiscard]] bool withdraw(const attempt_id& attempt);
+
     /// @brief Records that the key of a call is in progress here.
     void begin(const call& received);
 
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -115,6 +115,7 @@
 void owner_task::handle(const cancel& request) {
     const auto found = this->calls.find(request.attempt);
     if (found == this->calls.end()) {
+        this->cancel_before_admission(request.attempt);
         return;
     }
     auto& cancelled = found->second;
@@ -132,6 +133,21 @@
     }
 }
 
+// The call of the attempt waits for its key to be resolved, or has not arrived: it may be on its way on an
+// earlier connection of its entry.
+void owner_task::cancel_before_admission(const attempt_id& attempt) {
+    const bool withdrawn = this->keys.withdraw(attempt);
+    if (!withdrawn && this->attempts.state_of(attempt) != attempt_state::absent) {
+        return;
+    }
+    if (!withdrawn) {
+        this->attempts.fence(attempt, now_monotonic());
+        log_call(log_level::info, "attempt_fenced",
+                 {{"entry", attempt.entry}, {"sequence", attempt.sequence}, {"because", "cancelled"}});
+    }
+    this->reply(refuse(attempt, outcome::not_run, reason::cancelled));
+}
+
 void owner_task::handle(const inquiry& request) {
     switch (this->attempts.state_of(request.attempt)) {
     case attempt_state::absent:
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -47,6 +47,7 @@
     void handle(const key_inquiry_reply& reply);
     void handle(const describe_request& request);
 
+    void cancel_before_admission(const attempt_id& attempt);
     void check_for_pause();
     // Whether the attempt was received before; replies to it if it has ended or is fenced.
     [[nodiscard]] bool is_duplicate(const call& received);
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -12,6 +12,8 @@
 constexpr microseconds check_period = std::chrono::milliseconds{50};
 constexpr microseconds connect_timeout = std::chrono::milliseconds{500};
 constexpr microseconds idle_timeout = std::chrono::seconds{60};
+// How long a cancellation is sent again on new connections to an owner that has not answered it.
+constexpr microseconds cancel_retention = std::chrono::seconds{2};
 
 void log_update(const address& peer, const settings_update& update, const frame_arrival& arrival) {
     if (!update.subtrees.empty()) {
@@ -40,7 +42,8 @@
     if (target.outstanding.empty()) {
         target.health.on_first_outstanding(now);
     }
-    target.outstanding[request.request.attempt] = {now + request.request.remaining, 0};
+    target.outstanding[request.request.attempt] = {
+        .deadline = now + request.request.remaining, .owner_incarnation = 0, .forget_at = {}};
     if (target.is_ready()) {
         this->write_call(target, std::move(request.request));
     } else {
@@ -50,15 +53,25 @@
 
 void peer_client_task::handle(const cancel_attempt& request) {
     const auto found = this->links.find(request.owner);
-    if (found == this->links.end() || found->second.outstanding.erase(request.attempt) == 0) {
+    if (found == this->links.end()) {
+        return;
+    }
+    auto& target = found->second;
+    const auto cancelled = target.outstanding.find(request.attempt);
+    if (cancelled == target.outstanding.end()) {
         return;
     }
-    const auto dropped = std::erase_if(found->second.unsent, [&request](const message& queued_message) {
+    const auto dropped = std::erase_if(target.unsent, [&request](const message& queued_message) {
         const auto* queued_call = std::get_if<call>(&queued_message);
         return queued_call != nullptr && queued_call->attempt == request.attempt;
     });
-    if (dropped == 0) {
-        this->send_on(found->second, cancel{request.attempt});
+    if (dropped > 0) {
+        target.outstanding.erase(cancelled);
+        return;
+    }
+    cancelled->second.forget_at = now_monotonic() + cancel_retention;
+    if (target.is_ready()) {
+        this->send_on(target, cancel{request.attempt}); // otherwise it goes out on the replacement
     }
 }
 
@@ -239,36 +252,40 @@
 
 void peer_client_task::write_call(link& target, call&& outgoing) {
     const auto attempt = outgoing.attempt;
-    auto& state = target.outstanding.at(attempt);
-    state.owner_incarnation = target.owner_incarnation;
+    auto& stored = target.outstanding.at(attempt);
+    stored.owner_incarnation = target.owner_incarnation;
+    const auto state = stored;
     outgoing.remaining = elapsed(now_monotonic(), state.deadline);
     const auto bytes = target.current->send(message{std::move(outgoing)});
     this->context->stats->counters().call_bytes_sent += bytes;
     if (bytes == 0) {
         target.outstanding.erase(attempt);
-        this->end_attempt(attempt, outcome::not_run, reason::no_connection);
+        this->end_attempt(attempt, state, outcome::not_run, reason::no_connection);
     }
 }
 
 // A restarted owner has another incarnation and no record of earlier attempts: no inquiry is sent for these
-// and their outcome is unknown. The same holds for attempts past their deadline.
+// and their outcome is unknown. The same holds for attempts past their deadline. Cancelled attempts are
+// cancelled again.
 void peer_client_task::send_inquiries(link& target) {
     const auto now = now_monotonic();
-    std::vector<attempt_id> lost;
+    std::vector<std::pair<attempt_id, outstanding_attempt>> lost;
     for (const auto& [attempt, state] : target.outstanding) {
         if (state.owner_incarnation == 0) {
             continue;
         }
         const bool same_owner = state.owner_incarnation == target.owner_incarnation;
-        if (same_owner && now < state.deadline) {
+        if (same_owner && state.forget_at) {
+            this->send_on(target, cancel{attempt});
+        } else if (same_owner && now < state.deadline) {
             this->send_on(target, inquiry{attempt});
         } else {
-            lost.push_back(attempt);
+            lost.emplace_back(attempt, state);
         }
     }
-    for (const auto& attempt : lost) {
+    for (const auto& [attempt, state] : lost) {
         target.outstanding.erase(attempt);
-        this->end_attempt(attempt, outcome::unknown, reason::connection_lost);
+        this->end_attempt(attempt, state, outcome::unknown, reason::connection_lost);
     }
 }
 
@@ -279,7 +296,12 @@
         return;
     }
     const bool late = now_monotonic() >= found->second.deadline;
+    const bool cancelled = found->second.forget_at.has_value();
     target.outstanding.erase(found);
+    if (cancelled) {
+        ++this->context->stats->counters().late_answers;
+        return;
+    }
     auto forwarded = ended;
     if (late && ended.result == outcome::not_run && ended.why == reason::fenced) {
         forwarded.result = outcome::unknown; // the owner may have dropped its record of the attempt
@@ -342,9 +364,9 @@
     this->links.erase(peer);
     for (const auto& [attempt, state] : attempts) {
         if (state.owner_incarnation == 0) {
-            this->end_attempt(attempt, outcome::not_run, reason::no_connection);
+            this->end_attempt(attempt, state, outcome::not_run, reason::no_connection);
         } else {
-            this->end_attempt(attempt, outcome::unknown, reason::connection_lost);
+            this->end_attempt(attempt, state, outcome::unknown, reason::connection_lost);
         }
     }
     if (had_subscription) {
@@ -352,7 +374,11 @@
     }
 }
 
-void peer_client_task::end_attempt(const attempt_id& attempt, outcome result, reason why) {
+void peer_client_task::end_attempt(const attempt_id& attempt, const outstanding_attempt& state,
+                                   outcome result, reason why) {
+    if (state.forget_at) {
+        return;
+    }
     this->context->mailboxes->entry.post(attempt_ended{refuse(attempt, result, why), false});
 }
 
@@ -364,6 +390,12 @@
     }
 }
 
+void peer_client_task::forget_cancelled(link& target, instant now) {
+    std::erase_if(target.outstanding, [now](const auto& numbered) {
+        return numbered.second.forget_at && now >= *numbered.second.forget_at;
+    });
+}
+
 void peer_client_task::check_links() {
     const auto now = now_monotonic();
     std::vector<address> peers;
@@ -376,6 +408,7 @@
     for (const auto& peer : peers) {
         const auto found = this->links.find(peer);
         if (found != this->links.end()) {
+            forget_cancelled(found->second, now);
             this->check_link(found->second, now);
         }
     }
--- a/src/chervilturn/node/peer_client_task.hpp
+++ b/src/chervilturn/node/peer_client_task.hpp
@@ -8,6 +8,7 @@
 #include "chervilturn/transport/update_transfer.hpp"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace chervilturn {
@@ -22,6 +23,7 @@
     struct outstanding_attempt {
         instant deadline;
         std::uint64_t owner_incarnation = 0; // of the owner that it was sent to; 0 until it is sent
+        std::optional<instant> forget_at;    // of a cancelled attempt, which nobody here waits for
     };
 
     struct link {
@@ -75,8 +77,9 @@
     void fail_link(link& target);
     void write_call(link& target, call&& outgoing);
     void send_unsent(link& target);
-    void end_attempt(const attempt_id& attempt, outcome result, reason why);
+    void end_attempt(const attempt_id& attempt, const outstanding_attempt& state, outcome result, reason why);
     void send_on(link& target, const message& outgoing);
+    static void forget_cancelled(link& target, instant now);
     void check_links();
     void check_link(link& target, instant now);
 
