Drop a request whose caller left before it was read

Cause: a node that stood still finds a request and the end of its connection at once. The request was read, sent to an owner and run; the end of the stream came as a later event. Class of fault: acting on a message without a look at what came with it.

Ruled out: the owner, which reads a call and its cancellation together: the call is not written to the backend server before the cancellation is handled (second part of the test, held before).

Change: the entry asks the socket whether the client has closed before it takes a request on.

--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -206,6 +206,11 @@
 
 void entry_task::on_request(std::shared_ptr<http_exchange> exchange) {
     const auto id = this->context->protocols.callers->request_id(exchange->request());
+    if (exchange->client_has_left()) {
+        ++this->context->stats->counters().refusals.at(static_cast<std::size_t>(reason::cancelled));
+        log_call(log_level::info, "caller_left", {{"request", id}, {"attempt", 0}});
+        return;
+    }
     if (this->shutting_down) {
         this->reject(*exchange, {status_unavailable, reason::shutting_down, "the node is shutting down"}, id);
         return;
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -86,6 +86,9 @@
     /// @brief Sends the response. Does nothing if the connection has ended or a response was already sent.
     void respond(const http_response& response);
 
+    /// @brief Whether the client has closed the connection already, although on_abandoned was not called yet.
+    [[nodiscard]] bool client_has_left() const noexcept;
+
     /// @brief Sets a handler that is called if the connection ends before the response.
     void on_abandoned(std::function<void()> handler) { this->abandon_handler = std::move(handler); }
 
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -225,6 +225,11 @@
     }
 }
 
+bool http_exchange::client_has_left() const noexcept {
+    const auto open_connection = this->connection.lock();
+    return open_connection == nullptr || open_connection->ended_by_peer();
+}
+
 void http_exchange::notify_abandoned() {
     this->connection.reset();
     if (this->abandon_handler) {
--- a/src/chervilturn/transport/http_stream.cpp
+++ b/src/chervilturn/transport/http_stream.cpp
@@ -3,6 +3,7 @@
 
 #include "chervilturn/transport/socket_address.hpp"
 
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -50,6 +51,16 @@
     }
 }
 
+bool http_stream::ended_by_peer() const noexcept {
+    if (this->stream == nullptr) {
+        return true;
+    }
+    char next_byte = 0;
+    const auto peeked =
+        recv(bufferevent_getfd(this->stream), &next_byte, sizeof(next_byte), MSG_PEEK | MSG_DONTWAIT);
+    return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void http_stream::connect(const address& target) {
     const auto socket_address = to_socket_address(target);
     bufferevent_socket_connect(this->stream, reinterpret_cast<const sockaddr*>(&socket_address),
--- a/src/chervilturn/transport/http_stream.hpp
+++ b/src/chervilturn/transport/http_stream.hpp
@@ -24,6 +24,10 @@
     void close() noexcept;
     [[nodiscard]] bool is_open() const noexcept { return this->stream != nullptr; }
 
+    /// @brief Whether the peer has closed the connection or its sending direction and everything that it sent
+    /// was read. The end of the stream is then reported with a later event.
+    [[nodiscard]] bool ended_by_peer() const noexcept;
+
   protected:
     /// @brief Takes ownership of an accepted socket; with -1, connect creates the socket.
     http_stream(event_loop& loop, int socket);
