Serve the followers of a large update in turn

The first two followers had all the parts that may be on their way; the others got nothing for over a second, and a node that gets nothing compares with a random host, which sent the change too.

Change: parts go to all followers in turn; a transfer counts as stalled after one second without a part.

Conclusion: suspected cause mended; the check stays as it is.

--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -18,7 +18,7 @@
 constexpr microseconds max_follow_delay = std::chrono::milliseconds{500};
 constexpr double local_data_centre_share = 0.75; // of queries to random hosts
 constexpr std::size_t peers_asked_when_stale = 3;
-constexpr microseconds stalled_transfer = std::chrono::milliseconds{500}; // without a part
+constexpr microseconds stalled_transfer = std::chrono::seconds{1}; // without a part
 
 } // namespace
 
--- a/src/chervilturn/node/settings_followers.cpp
+++ b/src/chervilturn/node/settings_followers.cpp
@@ -3,6 +3,7 @@
 
 #include "chervilturn/observe/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilturn {
@@ -109,30 +110,41 @@
     this->send_parts();
 }
 
-// Followers are served one after the other, so that the first ones can pass the update on early.
 void settings_followers::send_parts() {
     const auto now = now_monotonic();
     std::size_t on_the_way = 0;
-    bool any_transfer = false;
+    std::vector<std::uint64_t> in_transfer;
     for (const auto& [connection, target] : this->followers) {
-        any_transfer = any_transfer || target.transfer;
-        if (target.transfer && target.transfer->silence(now) < stalled_after) {
+        if (!target.transfer) {
+            continue;
+        }
+        in_transfer.push_back(connection);
+        if (target.transfer->silence(now) < stalled_after) {
             on_the_way += target.transfer->bytes_on_the_way();
         }
     }
-    for (auto& [connection, target] : this->followers) {
-        while (target.transfer && on_the_way < max_bytes_on_the_way) {
-            auto part = target.transfer->next_part();
-            if (!part) {
-                break;
+    if (in_transfer.empty()) {
+        return;
+    }
+    this->stall_check.start_once(stall_check_period);
+    const auto next = std::upper_bound(in_transfer.begin(), in_transfer.end(), this->last_served);
+    std::rotate(in_transfer.begin(), next, in_transfer.end());
+    bool any_sent = true;
+    while (any_sent) {
+        any_sent = false;
+        for (const auto connection : in_transfer) {
+            if (on_the_way >= max_bytes_on_the_way) {
+                return;
+            }
+            auto part = this->followers.at(connection).transfer->next_part();
+            if (part) {
+                any_sent = true;
+                on_the_way += part->bytes.size();
+                this->last_served = connection;
+                this->context->mailboxes->peer_server.post(send_update_part{connection, std::move(*part)});
             }
-            on_the_way += part->bytes.size();
-            this->context->mailboxes->peer_server.post(send_update_part{connection, std::move(*part)});
         }
     }
-    if (any_transfer) {
-        this->stall_check.start_once(stall_check_period);
-    }
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/node/settings_followers.hpp
+++ b/src/chervilturn/node/settings_followers.hpp
@@ -51,7 +51,7 @@
     [[nodiscard]] prepared_update prepare(const std::vector<subtree_revision>& from,
                                           std::uint64_t nonce) const;
     void send(std::uint64_t connection, follower& target, prepared_update& prepared);
-    // Sends parts of all transfers as far as the bytes on their way allow.
+    // Sends parts of all transfers in turn, as far as the bytes on their way allow.
     void send_parts();
     void on_transfer_complete(std::uint64_t connection, follower& target);
 
@@ -59,7 +59,8 @@
     const settings_tree* tree;
     std::map<std::uint64_t, follower> followers;
     std::uint64_t last_transfer = 0;
-    timer stall_check; // runs during transfers
+    std::uint64_t last_served = 0; // connection that got the latest part
+    timer stall_check;             // runs during transfers
 };
 
 } // namespace chervilturn
