--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -20,6 +20,7 @@
     keyReport @11 :KeyReport;
     updatePart @12 :UpdatePart;
     partReceipt @13 :PartReceipt;
+    crashReport @14 :CrashReport;
   }
 }
 
@@ -30,6 +31,7 @@
   dataCentre @2 :Text;
   incarnation @3 :UInt64;
   peerAddress @4 :Text;
+  acceptsReports @5 :Bool;  # the node understands CrashReport
 }
 
 # Unique in the fleet: the entry's random incarnation number and a counter within that incarnation.
@@ -132,6 +134,21 @@
   nonce @1 :UInt64;
 }
 
+# Evidence that a request (by the first 128 bits of a hash) ran at a crash of a backend server, or is cleared of it.
+# Only to nodes that accept reports, and only to the listed data centres, if there are any.
+struct CrashEvidence {
+  requestHigh @0 :UInt64;
+  requestLow @1 :UInt64;
+  crash @2 :UInt64;
+  ageMicros @3 :UInt64;
+  dataCentres @4 :List(Text);
+  cleared @5 :Bool;
+}
+
+struct CrashReport {
+  evidence @0 :List(CrashEvidence);
+}
+
 # A part of a large update: of the bytes that a zlib stream of the Update's frame has in all. Only to subscribers
 # that accept parts.
 struct UpdatePart {
--- a/src/chervilturn/call/call.cpp
+++ b/src/chervilturn/call/call.cpp
@@ -38,7 +38,8 @@
                                                                   "key_expired",
                                                                   "bad_request",
                                                                   "backend_renamed",
-                                                                  "server_rate_limited"};
+                                                                  "server_rate_limited",
+                                                                  "request_held"};
 
 constexpr std::size_t uuid_length = 36;
 constexpr std::size_t uuid_version_position = 14; // the UUID's version digit
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -51,8 +51,9 @@
     key_record_full,
     key_expired,
     bad_request,
-    backend_renamed,    // the backend server's name is not the one that the call was sent to
-    server_rate_limited // the rate that the backend server states has no room in time
+    backend_renamed,     // the backend server's name is not the one that the call was sent to
+    server_rate_limited, // the rate that the backend server states has no room in time
+    request_held         // the same request has crashed backend servers
 };
 
 /// @brief Returns the name of an outcome in response headers and logs.
@@ -62,7 +63,7 @@
 [[nodiscard]] std::string_view to_string(reason value) noexcept;
 
 /// @brief Number of reasons; the size of tables indexed by reason.
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::server_rate_limited) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::request_held) + 1;
 
 /// @brief Identity of one attempt, unique across the fleet.
 struct attempt_id {
--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -99,6 +99,7 @@
     case reason::key_expired:
     case reason::cancelled:
     case reason::bad_request:
+    case reason::request_held:
         return true;
     default:
         return false;
--- a/src/chervilturn/node/backend_client.cpp
+++ b/src/chervilturn/node/backend_client.cpp
@@ -11,8 +11,9 @@
 } // namespace
 
 backend_client::backend_client(const node_context& shared_context, admission_controller& controller,
-                               statement_handler handler)
-    : context{&shared_context}, admission{&controller}, on_statement{std::move(handler)},
+                               statement_handler handler, life_signs handlers)
+    : context{&shared_context}, admission{&controller}, on_statement{std::move(handler)}, signs{std::move(
+                                                                                              handlers)},
       client{*shared_context.loop, shared_context.settings.backend_server,
              http_client_options{.max_body_bytes = shared_context.settings.limits.max_body_bytes}} {}
 
@@ -79,6 +80,7 @@
     case http_failure::refused:
         this->admission->release(attempt);
         this->admission->warm_up().on_lost();
+        this->signs.on_refused();
         return refuse(attempt, outcome::not_run, reason::backend_unreachable);
     case http_failure::timed_out:
         this->admission->abandon(attempt, now);
@@ -88,6 +90,7 @@
         return refuse(attempt, outcome::unknown, reason::cancelled);
     case http_failure::cut:
         this->on_connection_cut(now);
+        this->signs.on_cut(attempt);
         this->admission->release(attempt);
         return refuse(attempt, outcome::unknown, reason::answer_incomplete);
     case http_failure::malformed:
--- a/src/chervilturn/node/backend_client.hpp
+++ b/src/chervilturn/node/backend_client.hpp
@@ -20,8 +20,14 @@
     using statement_handler =
         std::function<void(const attempt_id&, const server_statement&, instant sent_at)>;
 
+    /// @brief Learns about signs that the backend server runs or has ended.
+    struct life_signs {
+        std::function<void(const attempt_id&)> on_cut; // a running call lost its connection
+        std::function<void()> on_refused;              // no connection was accepted
+    };
+
     backend_client(const node_context& context, admission_controller& controller,
-                   statement_handler on_statement);
+                   statement_handler on_statement, life_signs signs);
 
     /// @brief Sends a call that admission control dispatched. The handler is called once, after this
     /// function has returned.
@@ -42,6 +48,7 @@
     const node_context* context;
     admission_controller* admission; // outlives this
     statement_handler on_statement;
+    life_signs signs;
     http_client client;
     instant last_cut_at{};               // when a connection was last cut
     std::uint32_t recent_cuts = 0;       // each within cut_window of the previous one
--- a/src/chervilturn/node/backend_probe.cpp
+++ b/src/chervilturn/node/backend_probe.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 backend_probe::backend_probe(const node_context& shared_context, http_client& http, warm_up_limit& limit,
-                             report_handler handler)
+                             report_handler handler, std::function<void()> end_handler)
     : context{&shared_context}, client{&http}, warm_up{&limit}, on_report{std::move(handler)},
-      budget{make_bucket_options(shared_context.settings)}, send_timer{*shared_context.loop,
-                                                                       [this] { this->send(); }} {
+      on_ended{std::move(end_handler)}, budget{make_bucket_options(shared_context.settings)},
+      send_timer{*shared_context.loop, [this] { this->send(); }} {
     const std::chrono::duration<double> period{1.0 / shared_context.settings.probes.probes_per_second};
     this->send_timer.start_periodic(std::chrono::duration_cast<microseconds>(period));
 }
@@ -57,6 +57,7 @@
     if (const auto* failure = std::get_if<http_failure>(&result)) {
         if (*failure == http_failure::refused) {
             this->warm_up->on_lost();
+            this->on_ended();
         }
         this->log_unreadable(*failure);
         return;
@@ -83,6 +84,7 @@
         if (!this->last_boot_id.empty() && report.boot_id != this->last_boot_id) {
             log_event(log_level::warn, "backend_server_restarted", {{"boot", report.boot_id}});
             this->warm_up->on_restarted();
+            this->on_ended();
         }
         this->last_boot_id = report.boot_id;
     }
--- a/src/chervilturn/node/backend_probe.hpp
+++ b/src/chervilturn/node/backend_probe.hpp
@@ -20,11 +20,14 @@
     using report_handler = std::function<void(const probe_report&, instant sent_at)>;
 
     backend_probe(const node_context& context, http_client& http, warm_up_limit& limit,
-                  report_handler handler);
+                  report_handler handler, std::function<void()> end_handler);
 
     /// @brief Sets the request path of probes; an empty path stops them. The first probe is sent at once.
     void set_path(const std::string& new_path);
 
+    /// @brief Sends a probe now, if the budget allows.
+    void send();
+
     /// @brief Whether the first probe since the start still has no result, failed ones included. False when
     /// there are no probes.
     [[nodiscard]] bool awaits_first_result() const noexcept {
@@ -32,7 +35,6 @@
     }
 
   private:
-    void send();
     void on_result(const http_result& result, instant sent_at);
     void log_unreadable(http_failure failure);
     void apply_report(const probe_report& report, instant sent_at);
@@ -41,12 +43,13 @@
     http_client* client;
     warm_up_limit* warm_up;
     report_handler on_report;
-    std::string path;             // empty until settings are accepted; no probe is sent while empty
-    token_bucket budget;          // probes that may be sent
-    bool in_progress = false;     // a probe has no result yet
-    bool has_result = false;      // of any probe since the start, a failed one included
-    bool last_unreadable = false; // the last result that was no time-out or refusal could not be read
-    std::string last_boot_id;     // of the latest report that has one; empty until then
+    std::function<void()> on_ended; // the server accepts no connection, or it has restarted
+    std::string path;               // empty until settings are accepted; no probe is sent while empty
+    token_bucket budget;            // probes that may be sent
+    bool in_progress = false;       // a probe has no result yet
+    bool has_result = false;        // of any probe since the start, a failed one included
+    bool last_unreadable = false;   // the last result that was no time-out or refusal could not be read
+    std::string last_boot_id;       // of the latest report that has one; empty until then
     timer send_timer;
 };
 
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -13,6 +13,7 @@
 
 constexpr double percent = 100.0;
 constexpr std::uint16_t status_misdirected = 421;
+constexpr std::uint16_t status_bad_gateway = 502;
 constexpr std::uint16_t status_unavailable = 503;
 
 } // namespace
@@ -148,6 +149,15 @@
                                       latency);
 }
 
+void entry_task::handle(const suspects_changed& message) {
+    this->suspects = message.suspects;
+}
+
+bool entry_task::is_held(const call& checked) const {
+    const auto& held = this->suspects->held;
+    return !held.empty() && held.contains(fingerprint_of(checked));
+}
+
 void entry_task::handle(const shutdown_started&) {
     this->shutting_down = true;
     this->server->close_after_responses();
@@ -238,6 +248,12 @@
                      id);
         return;
     }
+    if (this->is_held(request.original_call)) {
+        this->reject(*exchange,
+                     {status_bad_gateway, reason::request_held, "the same request crashed backend servers"},
+                     id);
+        return;
+    }
     this->start_call(std::move(exchange), std::move(request));
 }
 
@@ -258,6 +274,11 @@
 
 void entry_task::start_attempt(call_iterator active) {
     auto& state = active->state;
+    if (state.retry_status().attempts() > 0 && this->is_held(state.original_call())) {
+        state.end_without_answer(outcome::not_run, reason::request_held);
+        this->finish_call(active);
+        return;
+    }
     const auto* owning_team = this->settings->find_team(state.original_call().team);
     const auto* target =
         owning_team != nullptr && owning_team->services.contains(state.original_call().service)
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -36,6 +36,7 @@
 
     void handle(const settings_changed& message);
     void handle(const attempt_ended& message);
+    void handle(const suspects_changed& message);
     void handle(const shutdown_started& message);
     void handle(const describe_request& request);
     void handle(const explain_request& request);
@@ -45,6 +46,7 @@
     void record_answer(const std::string& route, const entry_call::attempt& ended_attempt,
                        const attempt_ended& message, instant now);
     void record_attempt_metrics(const entry_call& state, microseconds latency);
+    [[nodiscard]] bool is_held(const call& checked) const;
     [[nodiscard]] bool route_exists(const std::string& name) const;
     void on_request(std::shared_ptr<http_exchange> exchange);
     void start_call(std::shared_ptr<http_exchange> exchange, accepted_request&& request);
@@ -79,6 +81,7 @@
     // Calls by their attempt in progress.
     std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts;
     std::uint64_t sequence = 0; // of the latest attempt that this node started
+    std::shared_ptr<const crash_suspects> suspects = std::make_shared<const crash_suspects>();
     bool shutting_down = false;
 };
 
--- a/src/chervilturn/node/fwd.hpp
+++ b/src/chervilturn/node/fwd.hpp
@@ -18,6 +18,7 @@
 class peer_client_task;
 class peer_server_task;
 class settings_followers;
+class crash_reports_task;
 class control_task;
 class operators_task;
 class node;
--- a/src/chervilturn/node/messages.hpp
+++ b/src/chervilturn/node/messages.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace chervilturn {
 
@@ -47,9 +48,20 @@
     bool from_owner = true;
 };
 
+/// @brief Requests that ran when backend servers crashed.
+struct crash_suspects {
+    std::set<request_fingerprint> held;      // must not run
+    std::set<request_fingerprint> suspected; // completions of these are reported; includes the held ones
+};
+
+/// @brief The requests that are held or suspected changed.
+struct suspects_changed {
+    std::shared_ptr<const crash_suspects> suspects;
+};
+
 /// @brief Messages to the entry task.
-using entry_message =
-    std::variant<settings_changed, attempt_ended, shutdown_started, describe_request, explain_request>;
+using entry_message = std::variant<settings_changed, attempt_ended, suspects_changed, shutdown_started,
+                                   describe_request, explain_request>;
 
 /// @brief A later home of a key sent an inquiry about it to this owner.
 struct key_inquiry_received {
@@ -59,8 +71,8 @@
 
 /// @brief Messages to the owner task.
 using owner_message =
-    std::variant<settings_changed, settings_stale, settings_confirmed, shutdown_started, call, cancel,
-                 inquiry, key_inquiry_received, key_inquiry_reply, describe_request>;
+    std::variant<settings_changed, settings_stale, settings_confirmed, suspects_changed, shutdown_started,
+                 call, cancel, inquiry, key_inquiry_received, key_inquiry_reply, describe_request>;
 
 /// @brief Sends an attempt to an owner on another host.
 struct send_attempt {
@@ -92,9 +104,16 @@
     address peer;
 };
 
+/// @brief Sends evidence about crashes to some connected peers, drawn at random. A peer gets what its data
+/// centre may hold.
+struct spread_report {
+    crash_report report;
+    std::size_t peers = 0; // at most
+};
+
 /// @brief Messages to the peer client task.
 using peer_client_message = std::variant<send_attempt, cancel_attempt, send_subscription, end_subscription,
-                                         send_key_inquiry, describe_request>;
+                                         send_key_inquiry, spread_report, describe_request>;
 
 /// @brief Sends an answer to the entry that started the attempt.
 struct return_answer {
@@ -125,8 +144,8 @@
 };
 
 /// @brief Messages to the peer server task.
-using peer_server_message =
-    std::variant<return_answer, return_pending, send_update, send_update_part, return_key_report>;
+using peer_server_message = std::variant<return_answer, return_pending, send_update, send_update_part,
+                                         return_key_report, spread_report>;
 
 /// @brief A peer sent a subscription for settings.
 struct peer_subscribed {
@@ -170,17 +189,45 @@
     std::variant<settings_stale, peer_subscribed, part_received, peer_unsubscribed, update_received,
                  update_part_received, peer_reconnected, peer_lost, describe_request>;
 
+/// @brief The backend server of this host crashed.
+struct backend_crashed {
+    std::string server;
+    std::vector<crash_suspect> running;
+};
+
+/// @brief The backend server of this host completed a suspected request.
+struct request_completed {
+    request_fingerprint request;
+};
+
+/// @brief A peer that accepts reports has connected.
+struct peer_introduced {
+    std::function<void(crash_report)> send; // sends a report to this peer
+};
+
+/// @brief An operator lets a held request run again.
+struct release_request {
+    std::string fingerprint; // hexadecimal
+    std::function<void(nlohmann::json)> reply;
+};
+
+/// @brief Messages to the crash reports task.
+using crash_reports_message = std::variant<backend_crashed, request_completed, crash_report, peer_introduced,
+                                           release_request, describe_request>;
+
 /// @brief One mailbox for each task of a node. Created before the tasks, which register their handlers with
 /// it.
 struct node_mailboxes {
     explicit node_mailboxes(event_loop& loop)
-        : entry{loop}, owner{loop}, peer_client{loop}, peer_server{loop}, control{loop} {}
+        : entry{loop}, owner{loop}, peer_client{loop}, peer_server{loop}, control{loop}, crash_reports{loop} {
+    }
 
     mailbox<entry_message> entry;
     mailbox<owner_message> owner;
     mailbox<peer_client_message> peer_client;
     mailbox<peer_server_message> peer_server;
     mailbox<control_message> control;
+    mailbox<crash_reports_message> crash_reports;
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/node/native_protocol.cpp
+++ b/src/chervilturn/node/native_protocol.cpp
@@ -26,7 +26,7 @@
     if (ended.why == reason::outside_home_regions) {
         return status_misdirected;
     }
-    if (ended.result == outcome::not_run) {
+    if (ended.result == outcome::not_run && ended.why != reason::request_held) {
         return status_unavailable;
     }
     return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -2,6 +2,7 @@
 #include "chervilturn/node/node.hpp"
 
 #include "chervilturn/node/control_task.hpp"
+#include "chervilturn/node/crash_reports_task.hpp"
 #include "chervilturn/node/entry_task.hpp"
 #include "chervilturn/node/operators_task.hpp"
 #include "chervilturn/node/owner_task.hpp"
@@ -60,6 +61,7 @@
     node_mailboxes mailboxes;
     node_context context;
     control_task control;
+    crash_reports_task crash_reports;
     owner_task owner;
     peer_client_task peer_client;
     peer_server_task peer_server;
@@ -80,7 +82,7 @@
 node::parts::parts(node_settings&& settings, node_protocols&& protocols)
     : mailboxes{this->loop}, context{make_context(this->loop, std::move(settings), std::move(protocols),
                                                   this->stats, this->mailboxes)},
-      control{this->context}, owner{this->context}, peer_client{this->context},
+      control{this->context}, crash_reports{this->context}, owner{this->context}, peer_client{this->context},
       peer_server{this->context}, entry{this->context}, operators{this->context,
                                                                   [this] {
                                                                       return this->shutdown.state() ==
--- a/src/chervilturn/node/operators_task.cpp
+++ b/src/chervilturn/node/operators_task.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t status_part_count = 4; // entry, owner, links, control
+constexpr std::size_t status_part_count = 5; // entry, owner, links, control, crashes
 
 void respond_json(http_exchange& exchange, std::uint16_t status, const nlohmann::json& body) {
     exchange.respond({.status = status,
@@ -74,6 +74,8 @@
     if (path == "/ready") {
         const bool serving = this->is_ready();
         respond_json(*exchange, serving ? 200 : 503, {{"ready", serving}});
+    } else if (path == "/release" && exchange->request().method == "POST") {
+        this->release(exchange);
     } else if (exchange->request().method != "GET") {
         respond_json(*exchange, 405, {{"error", "method is not GET"}});
     } else if (path == "/status") {
@@ -105,6 +107,14 @@
     this->context->mailboxes->owner.post(part_request("owner"));
     this->context->mailboxes->peer_client.post(part_request("links"));
     this->context->mailboxes->control.post(part_request("control"));
+    this->context->mailboxes->crash_reports.post(part_request("crashes"));
+}
+
+void operators_task::release(const std::shared_ptr<http_exchange>& exchange) {
+    const query_string query{exchange->request().target};
+    this->context->mailboxes->crash_reports.post(release_request{
+        .fingerprint = query.get("fingerprint"),
+        .reply = [exchange](const nlohmann::json& body) { respond_json(*exchange, 200, body); }});
 }
 
 void operators_task::respond_explanation(const std::shared_ptr<http_exchange>& exchange) {
--- a/src/chervilturn/node/operators_task.hpp
+++ b/src/chervilturn/node/operators_task.hpp
@@ -19,6 +19,7 @@
   private:
     void on_request(const std::shared_ptr<http_exchange>& exchange);
     void respond_status(const std::shared_ptr<http_exchange>& exchange);
+    void release(const std::shared_ptr<http_exchange>& exchange);
     void respond_explanation(const std::shared_ptr<http_exchange>& exchange);
 
     const node_context* context;
--- a/src/chervilturn/node/owner_state.cpp
+++ b/src/chervilturn/node/owner_state.cpp
@@ -63,6 +63,26 @@
     return exclusion_reason(request, *resolved.server);
 }
 
+std::set<std::string> owner_state::permitted_data_centres(const call& received) const {
+    const auto resolved = this->resolve(received);
+    if (resolved.owning_team == nullptr || resolved.target == nullptr) {
+        return {this->self->data_centre};
+    }
+    const auto regions =
+        common_regions(home_regions_of(*resolved.owning_team, received), resolved.target->home_regions);
+    std::set<std::string> permitted;
+    if (regions.empty()) {
+        return permitted;
+    }
+    permitted.insert(this->self->data_centre);
+    for (const auto& [peers, listed] : this->settings->hosts) {
+        if (admits(regions, this->settings->region_of(listed.data_centre))) {
+            permitted.insert(listed.data_centre);
+        }
+    }
+    return permitted;
+}
+
 region_set home_regions_of(const team& owning_team, const call& received) {
     region_set regions;
     const auto workspace_entry = owning_team.workspaces.find(received.workspace);
--- a/src/chervilturn/node/owner_state.hpp
+++ b/src/chervilturn/node/owner_state.hpp
@@ -6,6 +6,7 @@
 #include "chervilturn/config/node_settings.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace chervilturn {
@@ -55,6 +56,10 @@
     /// before dispatch, and for queued calls after a change of settings.
     [[nodiscard]] reason refusal_reason(const call& received) const;
 
+    /// @brief The data centres that may hold something derived from a call: those in its home regions, and
+    /// this node's own. Empty when the call has no home regions: all.
+    [[nodiscard]] std::set<std::string> permitted_data_centres(const call& received) const;
+
   private:
     const node_settings* self; // outlives this
     std::shared_ptr<const model> settings = std::make_shared<const model>();
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -41,13 +41,17 @@
                                                [this](call&& received, const key_decision& decision) {
                                                    this->on_key_resolved(std::move(received), decision);
                                                }},
-      backend{shared_context, this->admission,
+      backend{shared_context,
+              this->admission,
               [this](const attempt_id& attempt, const server_statement& stated, instant sent_at) {
                   this->on_call_statement(attempt, stated, sent_at);
-              }},
+              },
+              {.on_cut = [this](const attempt_id& attempt) { this->on_call_cut(attempt); },
+               .on_refused = [this] { this->on_server_ended(this->state.server_name()); }}},
       pauses{now_monotonic()}, advance_timer{*shared_context.loop, [this] { this->advance(); }},
       probe{shared_context, this->backend.http(), this->admission.warm_up(),
-            [this](const probe_report& report, instant sent_at) { this->on_probe_report(report, sent_at); }} {
+            [this](const probe_report& report, instant sent_at) { this->on_probe_report(report, sent_at); },
+            [this] { this->on_server_ended(this->state.server_name()); }} {
     shared_context.mailboxes->owner.on_message([this](owner_message&& received) {
         this->check_for_pause();
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
@@ -76,6 +80,11 @@
     this->state.confirm();
 }
 
+void owner_task::handle(const suspects_changed& message) {
+    this->suspects = message.suspects;
+    this->recheck_queued();
+}
+
 void owner_task::handle(const shutdown_started&) {
     this->state.begin_shutdown();
     this->refuse_queued(reason::shutting_down);
@@ -86,7 +95,7 @@
         return;
     }
     this->attempts.begin(received.attempt, now_monotonic() + received.remaining);
-    const auto refusal_cause = this->state.refusal_reason(received);
+    const auto refusal_cause = this->refusal_reason(received);
     if (refusal_cause != reason::none) {
         log_call(log_level::info, "call_refused",
                  {{"request", received.request_id},
@@ -133,6 +142,48 @@
     }
 }
 
+reason owner_task::refusal_reason(const call& received) const {
+    const auto why = this->state.refusal_reason(received);
+    const auto& held = this->suspects->held;
+    return why == reason::none && !held.empty() && held.contains(fingerprint_of(received))
+               ? reason::request_held
+               : why;
+}
+
+void owner_task::on_call_cut(const attempt_id& attempt) {
+    const auto found = this->calls.find(attempt);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const auto& received = found->second.received;
+    this->crashes.on_cut(
+        {.request = fingerprint_of(received), .data_centres = this->state.permitted_data_centres(received)},
+        now_monotonic());
+    this->probe.send(); // shows at once whether the server has ended
+}
+
+void owner_task::on_server_ended(const std::string& name) {
+    auto running = this->crashes.on_ended(now_monotonic());
+    if (!running.empty()) {
+        this->context->mailboxes->crash_reports.post(backend_crashed{name, std::move(running)});
+    }
+}
+
+void owner_task::report_completion(const call& received, const answer& ended) {
+    if (ended.result != outcome::completed) {
+        return;
+    }
+    this->crashes.on_answered(now_monotonic() - ended.service_time);
+    const auto& suspected = this->suspects->suspected;
+    if (suspected.empty()) {
+        return;
+    }
+    const auto request = fingerprint_of(received);
+    if (suspected.contains(request)) {
+        this->context->mailboxes->crash_reports.post(request_completed{request});
+    }
+}
+
 // The call of the attempt waits for its key to be resolved, or has not arrived: it may be on its way on an
 // earlier connection of its entry.
 void owner_task::cancel_before_admission(const attempt_id& attempt) {
@@ -259,7 +310,8 @@
 void owner_task::admit(call&& received) {
     const auto now = now_monotonic();
     const auto attempt = received.attempt;
-    const auto refusal_cause = this->state.refusal_reason(received);
+    const auto refusal_cause = needs_key_resolution(received) ? this->refusal_reason(received)
+                                                              : this->state.refusal_reason(received);
     if (refusal_cause != reason::none) {
         this->reply(refuse(attempt, outcome::not_run, refusal_cause));
         return;
@@ -382,6 +434,7 @@
     this->context->stats->record_step(
         {.service = received.service, .urgent = received.urgent, .step = call_step::backend_server},
         ended.service_time);
+    this->report_completion(received, ended);
     ended.backend_server = found->second.server_name;
     if (ended.why == reason::backend_renamed) {
         log_event(log_level::warn, "backend_server_renamed",
@@ -398,6 +451,7 @@
     if (this->state.set_server_name(report.server_name)) {
         log_event(log_level::info, "backend_server_named",
                   {{"name", report.server_name}, {"before", previous_name}});
+        this->on_server_ended(previous_name);
         this->admission.cold_limit().presume_cold(now);
         this->statements.reset();
         this->admission.stated_limit().set_rate(std::nullopt, now);
@@ -469,7 +523,7 @@
 void owner_task::recheck_queued() {
     std::vector<answer> refusals;
     for (const auto& [attempt, owned] : this->calls) {
-        const auto refusal_cause = owned.running ? reason::none : this->state.refusal_reason(owned.received);
+        const auto refusal_cause = owned.running ? reason::none : this->refusal_reason(owned.received);
         if (refusal_cause != reason::none) {
             refusals.push_back(refuse(attempt, outcome::not_run, refusal_cause));
         }
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -3,6 +3,7 @@
 
 #include "chervilturn/admission/admission_controller.hpp"
 #include "chervilturn/admission/attempt_record.hpp"
+#include "chervilturn/admission/crash_record.hpp"
 #include "chervilturn/membership/pause_detector.hpp"
 #include "chervilturn/node/backend_client.hpp"
 #include "chervilturn/node/backend_probe.hpp"
@@ -39,6 +40,7 @@
     void handle(const settings_changed& message);
     void handle(const settings_stale& message);
     void handle(const settings_confirmed& message);
+    void handle(const suspects_changed& message);
     void handle(const shutdown_started& message);
     void handle(call&& received);
     void handle(const cancel& request);
@@ -47,6 +49,13 @@
     void handle(const key_inquiry_reply& reply);
     void handle(const describe_request& request);
 
+    // Why the call must not run now, also because its request is held; none if it may. Hashes the request
+    // while any is held, so it is asked once on arrival, and again when waiting calls may have become held.
+    [[nodiscard]] reason refusal_reason(const call& received) const;
+    // Signs of a crash of the backend server: a running call lost its connection, or the server has ended.
+    void on_call_cut(const attempt_id& attempt);
+    void on_server_ended(const std::string& name);
+    void report_completion(const call& received, const answer& ended);
     void cancel_before_admission(const attempt_id& attempt);
     void check_for_pause();
     // Whether the attempt was received before; replies to it if it has ended or is fenced.
@@ -79,6 +88,8 @@
     bool probe_says_draining = false; // in the last probe report
     std::string last_unreadable_rate; // in the latest response; empty when that one was readable
     admission_controller admission;
+    crash_detector crashes;
+    std::shared_ptr<const crash_suspects> suspects = std::make_shared<const crash_suspects>();
     attempt_record attempts;
     key_resolver keys;
     std::unordered_map<attempt_id, owned_call, attempt_id_hash> calls;
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 peer_client_task::peer_client_task(const node_context& shared)
-    : context{&shared}, check_timer{*shared.loop, [this] { this->check_links(); }} {
+    : context{&shared}, random{shared.incarnation}, check_timer{*shared.loop,
+                                                                [this] { this->check_links(); }} {
     shared.mailboxes->peer_client.on_message([this](peer_client_message&& received) {
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
                    std::move(received));
@@ -95,6 +96,23 @@
     this->send_on(this->link_to(request.peer), request.inquiry);
 }
 
+void peer_client_task::handle(const spread_report& request) {
+    std::vector<link*> ready;
+    for (auto& [peer, target] : this->links) {
+        if (target.is_ready() && target.accepts_reports) {
+            ready.push_back(&target);
+        }
+    }
+    for (std::size_t sent = 0; sent < request.peers && !ready.empty(); ++sent) {
+        const auto chosen = this->random.index(ready.size());
+        const auto report = report_for(ready[chosen]->data_centre, request.report);
+        if (!report.evidence.empty()) {
+            this->send_on(*ready[chosen], report);
+        }
+        ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
 void peer_client_task::handle(const describe_request& request) {
     auto links_json = nlohmann::json::array();
     for (const auto& [peer, target] : this->links) {
@@ -124,6 +142,7 @@
                   .health = connection_health{this->health_options(), now},
                   .outstanding = {},
                   .unsent = {},
+                  .data_centre = {},
                   .incoming = {}};
     auto& target = this->links.emplace(peer, std::move(new_link)).first->second;
     this->open_current(target);
@@ -184,7 +203,8 @@
         target.health.on_received(now_monotonic());
     }
     std::visit(
-        overloaded{[&](const hello& item) { this->on_introduced(target, generation, item); },
+        overloaded{[&](const hello& item) { this->on_hello(target, generation, item); },
+                   [&](crash_report& item) { this->context->mailboxes->crash_reports.post(std::move(item)); },
                    [&](const answer& item) { this->on_answer(target, item); },
                    [&](settings_update& item) {
                        log_update(target.peer, item, arrival);
@@ -200,6 +220,26 @@
         received);
 }
 
+void peer_client_task::on_hello(link& target, std::uint64_t generation, const hello& peer_hello) {
+    target.data_centre = peer_hello.data_centre;
+    target.accepts_reports = peer_hello.accepts_reports;
+    this->on_introduced(target, generation, peer_hello);
+    if (!peer_hello.accepts_reports) {
+        return;
+    }
+    this->context->mailboxes->crash_reports.post(
+        peer_introduced{[this, peer = target.peer](const crash_report& report) {
+            const auto found = this->links.find(peer);
+            if (found == this->links.end() || !found->second.accepts_reports) {
+                return;
+            }
+            const auto permitted = report_for(found->second.data_centre, report);
+            if (!permitted.evidence.empty()) {
+                this->send_on(found->second, permitted);
+            }
+        }});
+}
+
 // A long message that is on its way shows that the peer lives, although its pongs wait behind it.
 void peer_client_task::on_progress(const address& peer, std::uint64_t generation) {
     const auto found = this->links.find(peer);
--- a/src/chervilturn/node/peer_client_task.hpp
+++ b/src/chervilturn/node/peer_client_task.hpp
@@ -1,6 +1,7 @@
 // Connections that this node opens to other nodes: sends attempts to their owners and receives the answers.
 #pragma once
 
+#include "chervilturn/core/random.hpp"
 #include "chervilturn/membership/connection_health.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/messages.hpp"
@@ -37,8 +38,10 @@
         std::uint64_t owner_incarnation = 0;      // from the hello on current; 0 before it arrives
         std::unordered_map<attempt_id, outstanding_attempt, attempt_id_hash> outstanding;
         std::vector<message> unsent; // sent once the peer has introduced itself
-        bool followed = false;       // this node is subscribed to the peer's settings
-        incoming_update incoming;    // on current
+        std::string data_centre;     // of the peer, from the hello on current
+        bool accepts_reports = false;
+        bool followed = false;    // this node is subscribed to the peer's settings
+        incoming_update incoming; // on current
         instant opened_at{};
         instant replacement_opened_at{};
         instant last_used_at{};
@@ -58,6 +61,7 @@
     void handle(const send_subscription& request);
     void handle(const end_subscription& request);
     void handle(const send_key_inquiry& request);
+    void handle(const spread_report& request);
     void handle(const describe_request& request);
 
     [[nodiscard]] connection_options health_options() const;
@@ -72,6 +76,7 @@
     void on_introduced(link& target, std::uint64_t generation, const hello& peer_hello);
     void switch_to_replacement(link& target, std::uint64_t owner_incarnation);
     void send_inquiries(link& target);
+    void on_hello(link& target, std::uint64_t generation, const hello& peer_hello);
     void on_answer(link& target, const answer& ended);
     void on_update_part(link& target, const update_part& part);
     void fail_link(link& target);
@@ -86,6 +91,7 @@
     const node_context* context;
     std::map<address, link> links;
     std::uint64_t last_generation = 0;
+    random_source random;
     timer check_timer;
 };
 
--- a/src/chervilturn/node/peer_server_task.cpp
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -7,7 +7,8 @@
 
 namespace chervilturn {
 
-peer_server_task::peer_server_task(const node_context& shared) : context{&shared} {
+peer_server_task::peer_server_task(const node_context& shared)
+    : context{&shared}, random{shared.incarnation} {
     shared.mailboxes->peer_server.on_message([this](peer_server_message&& received) {
         std::visit([this](const auto& item) { this->handle(item); }, received);
     });
@@ -76,6 +77,31 @@
     }
 }
 
+void peer_server_task::handle(const spread_report& request) {
+    std::vector<std::uint64_t> ready;
+    for (const auto& [incarnation, connection_number] : this->newest_by_incarnation) {
+        if (this->connections.at(connection_number).accepts_reports) {
+            ready.push_back(connection_number);
+        }
+    }
+    for (std::size_t sent = 0; sent < request.peers && !ready.empty(); ++sent) {
+        const auto chosen = this->random.index(ready.size());
+        this->send_report(ready[chosen], request.report);
+        ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void peer_server_task::send_report(std::uint64_t connection_number, const crash_report& report) {
+    const auto found = this->connections.find(connection_number);
+    if (found == this->connections.end()) {
+        return;
+    }
+    const auto permitted = report_for(found->second.data_centre, report);
+    if (!permitted.evidence.empty()) {
+        this->send_control(*found->second.connection, permitted);
+    }
+}
+
 void peer_server_task::on_accepted(std::shared_ptr<peer_connection> connection) {
     const auto connection_number = ++this->accepted_count;
     connection->set_handlers(
@@ -93,7 +119,9 @@
                              .incarnation = this->context->incarnation,
                              .peer_address = settings.reachable_at};
     this->send_control(*connection, introduction);
-    this->connections.emplace(connection_number, accepted_connection{std::move(connection), 0, {}});
+    this->connections.emplace(
+        connection_number,
+        accepted_connection{.connection = std::move(connection), .data_centre = {}, .peer_address = {}});
 }
 
 void peer_server_task::on_message(std::uint64_t connection_number, message&& received,
@@ -110,41 +138,50 @@
         return;
     }
     auto& peer = found->second;
-    std::visit(overloaded{[&](const hello& item) { this->on_introduced(connection_number, item); },
-                          [&](call& item) {
-                              if (item.attempt.entry != peer.incarnation) {
-                                  this->reject(connection_number,
-                                               "call with the attempt id of another entry");
-                                  return;
-                              }
-                              this->context->mailboxes->owner.post(std::move(item));
-                          },
-                          [&](const cancel& item) { this->context->mailboxes->owner.post(item); },
-                          [&](const inquiry& item) { this->context->mailboxes->owner.post(item); },
-                          [&](const ping& item) { this->send_control(*peer.connection, pong{item.nonce}); },
-                          [&](subscription& item) {
-                              this->context->mailboxes->control.post(
-                                  peer_subscribed{connection_number, peer.peer_address, std::move(item)});
-                          },
-                          [&](const part_receipt& item) {
-                              this->context->mailboxes->control.post(part_received{connection_number, item});
-                          },
-                          [&](key_inquiry& item) {
-                              this->context->mailboxes->owner.post(
-                                  key_inquiry_received{connection_number, std::move(item)});
-                          },
-                          [](const pong&) {},
-                          [&](const auto&) {
-                              this->reject(connection_number, "message that only the accepting side sends");
-                          }},
-               received);
+    std::visit(
+        overloaded{[&](const hello& item) { this->on_introduced(connection_number, item); },
+                   [&](call& item) {
+                       if (item.attempt.entry != peer.incarnation) {
+                           this->reject(connection_number, "call with the attempt id of another entry");
+                           return;
+                       }
+                       this->context->mailboxes->owner.post(std::move(item));
+                   },
+                   [&](const cancel& item) { this->context->mailboxes->owner.post(item); },
+                   [&](const inquiry& item) { this->context->mailboxes->owner.post(item); },
+                   [&](const ping& item) { this->send_control(*peer.connection, pong{item.nonce}); },
+                   [&](subscription& item) {
+                       this->context->mailboxes->control.post(
+                           peer_subscribed{connection_number, peer.peer_address, std::move(item)});
+                   },
+                   [&](const part_receipt& item) {
+                       this->context->mailboxes->control.post(part_received{connection_number, item});
+                   },
+                   [&](key_inquiry& item) {
+                       this->context->mailboxes->owner.post(
+                           key_inquiry_received{connection_number, std::move(item)});
+                   },
+                   [](const pong&) {},
+                   [&](crash_report& item) { this->context->mailboxes->crash_reports.post(std::move(item)); },
+                   [&](const auto&) {
+                       this->reject(connection_number, "message that only the accepting side sends");
+                   }},
+        received);
 }
 
 void peer_server_task::on_introduced(std::uint64_t connection_number, const hello& peer_hello) {
     auto& peer = this->connections.at(connection_number);
     peer.incarnation = peer_hello.incarnation;
     peer.peer_address = peer_hello.peer_address;
+    peer.data_centre = peer_hello.data_centre;
+    peer.accepts_reports = peer_hello.accepts_reports;
     this->newest_by_incarnation[peer_hello.incarnation] = connection_number;
+    if (peer_hello.accepts_reports) {
+        this->context->mailboxes->crash_reports.post(
+            peer_introduced{[this, connection_number](const crash_report& report) {
+                this->send_report(connection_number, report);
+            }});
+    }
 }
 
 void peer_server_task::on_closed(std::uint64_t connection_number, close_cause cause) {
--- a/src/chervilturn/node/peer_server_task.hpp
+++ b/src/chervilturn/node/peer_server_task.hpp
@@ -1,6 +1,7 @@
 // Connections that other nodes open to this one: receives their calls and subscriptions, sends the answers.
 #pragma once
 
+#include "chervilturn/core/random.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/messages.hpp"
 #include "chervilturn/transport/peer_connection.hpp"
@@ -24,7 +25,9 @@
     struct accepted_connection {
         std::shared_ptr<peer_connection> connection;
         std::uint64_t incarnation = 0; // of the peer; 0 before its hello
-        address peer_address;          // where the peer listens for other nodes, from its hello
+        std::string data_centre;       // of the peer
+        bool accepts_reports = false;
+        address peer_address; // where the peer listens for other nodes, from its hello
     };
 
     void handle(const return_answer& request);
@@ -32,6 +35,7 @@
     void handle(const send_update& request);
     void handle(const send_update_part& request);
     void handle(const return_key_report& request);
+    void handle(const spread_report& request);
 
     void on_accepted(std::shared_ptr<peer_connection> connection);
     void on_message(std::uint64_t connection_number, message&& received, const frame_arrival& arrival);
@@ -39,6 +43,7 @@
     void on_closed(std::uint64_t connection_number, close_cause cause);
     void reject(std::uint64_t connection_number, const char* violation);
     [[nodiscard]] peer_connection* newest_connection(std::uint64_t incarnation);
+    void send_report(std::uint64_t connection_number, const crash_report& report);
     std::size_t send_control(peer_connection& connection, const message& outgoing);
 
     const node_context* context;
@@ -47,6 +52,7 @@
     // The number of the newest connection of each peer, by incarnation. Answers go out on this one.
     std::map<std::uint64_t, std::uint64_t> newest_by_incarnation;
     std::uint64_t accepted_count = 0;
+    random_source random;
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/observe/metrics.cpp
+++ b/src/chervilturn/observe/metrics.cpp
@@ -195,6 +195,7 @@
     write_counter(text, "platform_failures_total", this->counter_values.platform_failures);
     write_counter(text, "settings_accepted_total", this->counter_values.settings_accepted);
     write_counter(text, "settings_rejected_total", this->counter_values.settings_rejected);
+    write_counter(text, "backend_crashes_total", this->counter_values.backend_crashes);
     write_counter(text, "pauses_total", this->counter_values.pauses);
     write_counter(text, "silent_connections_total", this->counter_values.silent_connections);
     write_counter(text, "malformed_frames_total", this->counter_values.malformed_frames);
@@ -218,6 +219,8 @@
     write_gauge(text, "door_limit", static_cast<double>(gauges.admission_limit));
     write_gauge(text, "door_in_use", static_cast<double>(gauges.admission_in_use));
     write_gauge(text, "door_queued", static_cast<double>(gauges.admission_queued));
+    write_gauge(text, "requests_held", static_cast<double>(gauges.requests_held));
+    write_gauge(text, "requests_suspected", static_cast<double>(gauges.requests_suspected));
     write_gauge(text, "backend_server_cold", gauges.backend_server_cold ? 1.0 : 0.0);
     write_gauge(text, "server_leaving", gauges.server_leaving ? 1.0 : 0.0);
     if (gauges.server_rate_limit) {
--- a/src/chervilturn/observe/metrics.hpp
+++ b/src/chervilturn/observe/metrics.hpp
@@ -79,7 +79,9 @@
 
 /// @brief Present values of the gauges of one node.
 struct node_gauges {
-    std::uint64_t settings_revision = 0; // newest revision of the current settings
+    std::uint64_t requests_held = 0;      // because they crashed backend servers
+    std::uint64_t requests_suspected = 0; // that ran at a crash and were not completed since
+    std::uint64_t settings_revision = 0;  // newest revision of the current settings
     instant settings_confirmed_at{}; // when the platform or a peer last sent all that is newer; epoch: never
     std::uint64_t followers = 0;     // nodes that subscribe to the settings of this one
     std::uint64_t peers_connected = 0;
@@ -107,6 +109,7 @@
     std::uint64_t platform_failures = 0;
     std::uint64_t settings_accepted = 0;
     std::uint64_t settings_rejected = 0;
+    std::uint64_t backend_crashes = 0; // of this host's backend server, while calls ran
     std::uint64_t pauses = 0;
     std::uint64_t silent_connections = 0; // to peers; replaced because they were silent or had closed
     std::uint64_t malformed_frames = 0;
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -187,7 +187,14 @@
 
 // The closest reason that nodes of older versions know.
 [[nodiscard]] reason reason_for_older_nodes(reason why) {
-    return why == reason::server_rate_limited ? reason::queue_full : why;
+    switch (why) {
+    case reason::server_rate_limited:
+        return reason::queue_full;
+    case reason::request_held:
+        return reason::bad_request;
+    default:
+        return why;
+    }
 }
 
 // The reason of an answer; a newer one that this version does not know is replaced by the sender's
@@ -265,7 +272,8 @@
     return message{hello{.host = from_text(source.getHost()),
                          .data_centre = from_text(source.getDataCentre()),
                          .incarnation = source.getIncarnation(),
-                         .peer_address = *peer_address}};
+                         .peer_address = *peer_address,
+                         .accepts_reports = source.getAcceptsReports()}};
 }
 
 void write_key_inquiry(wire::KeyInquiry::Builder target, const key_inquiry& outgoing) {
@@ -333,6 +341,40 @@
     return {.transfer = source.getTransfer(), .received = source.getReceived()};
 }
 
+void write_report(wire::CrashReport::Builder target, const crash_report& outgoing) {
+    auto list = target.initEvidence(static_cast<unsigned>(outgoing.evidence.size()));
+    for (std::size_t index = 0; index < outgoing.evidence.size(); ++index) {
+        const auto& item = outgoing.evidence[index];
+        auto entry = list[static_cast<unsigned>(index)];
+        entry.setRequestHigh(item.request.high);
+        entry.setRequestLow(item.request.low);
+        entry.setCrash(item.crash);
+        entry.setCleared(item.cleared);
+        entry.setAgeMicros(to_micros(item.age));
+        auto names = entry.initDataCentres(static_cast<unsigned>(item.data_centres.size()));
+        unsigned position = 0;
+        for (const auto& name : item.data_centres) {
+            names.set(position++, to_text(name));
+        }
+    }
+}
+
+[[nodiscard]] crash_report read_report(wire::CrashReport::Reader source) {
+    crash_report received;
+    for (const auto item : source.getEvidence()) {
+        crash_evidence entry{.request = {.high = item.getRequestHigh(), .low = item.getRequestLow()},
+                             .crash = item.getCrash(),
+                             .cleared = item.getCleared(),
+                             .age = from_micros(item.getAgeMicros()),
+                             .data_centres = {}};
+        for (const auto name : item.getDataCentres()) {
+            entry.data_centres.insert(from_text(name));
+        }
+        received.evidence.push_back(std::move(entry));
+    }
+    return received;
+}
+
 void write_message(wire::Frame::Builder frame, const message& outgoing) {
     std::visit(
         overloaded{[&](const hello& item) {
@@ -342,6 +384,7 @@
                        target.setDataCentre(to_text(item.data_centre));
                        target.setIncarnation(item.incarnation);
                        target.setPeerAddress(to_text(to_string(item.peer_address)));
+                       target.setAcceptsReports(item.accepts_reports);
                    },
                    [&](const call& item) { write_call(frame.initCall(), item); },
                    [&](const answer& item) { write_answer(frame.initAnswer(), item); },
@@ -353,6 +396,7 @@
                    [&](const key_inquiry& item) { write_key_inquiry(frame.initKeyInquiry(), item); },
                    [&](const key_inquiry_reply& item) { write_key_reply(frame.initKeyReport(), item); },
                    [&](const update_part& item) { write_part(frame.initUpdatePart(), item); },
+                   [&](const crash_report& item) { write_report(frame.initCrashReport(), item); },
                    [&](const part_receipt& item) { write_receipt(frame.initPartReceipt(), item); },
                    [&](const subscription& item) { write_digest(frame.initSubscribe(), item); },
                    [&](const settings_update& item) {
@@ -401,6 +445,8 @@
         return message{read_part(frame.getUpdatePart())};
     case wire::Frame::PART_RECEIPT:
         return message{read_receipt(frame.getPartReceipt())};
+    case wire::Frame::CRASH_REPORT:
+        return message{read_report(frame.getCrashReport())};
     }
     return codec_error{"frame has an unknown type"};
 }
--- a/src/chervilturn/transport/message.cpp
+++ b/src/chervilturn/transport/message.cpp
@@ -5,6 +5,16 @@
 
 namespace chervilturn {
 
+crash_report report_for(const std::string& data_centre, const crash_report& report) {
+    crash_report permitted;
+    for (const auto& item : report.evidence) {
+        if (item.data_centres.empty() || item.data_centres.contains(data_centre)) {
+            permitted.evidence.push_back(item);
+        }
+    }
+    return permitted;
+}
+
 std::size_t leaf_count(const settings_update& update) noexcept {
     return std::accumulate(
         update.subtrees.begin(), update.subtrees.end(), std::size_t{0},
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -1,6 +1,7 @@
 // Messages between nodes. The codec converts them to and from Cap'n Proto frames.
 #pragma once
 
+#include "chervilturn/admission/crash_record.hpp"
 #include "chervilturn/admission/key_record.hpp"
 #include "chervilturn/call/call.hpp"
 #include "chervilturn/config/tree.hpp"
@@ -19,6 +20,7 @@
     std::string data_centre;
     std::uint64_t incarnation = 0; // random number drawn when the node starts
     address peer_address;          // where the node accepts connections of other nodes
+    bool accepts_reports = true;   // false from nodes of older versions
 };
 
 /// @brief Asks an owner to cancel an attempt.
@@ -77,6 +79,14 @@
     std::uint64_t received = 0; // bytes
 };
 
+/// @brief Evidence about requests that crash backend servers.
+struct crash_report {
+    std::vector<crash_evidence> evidence;
+};
+
+/// @brief The part of a report that a data centre may hold.
+[[nodiscard]] crash_report report_for(const std::string& data_centre, const crash_report& report);
+
 /// @brief Number of leaves in all subtrees of an update.
 [[nodiscard]] std::size_t leaf_count(const settings_update& update) noexcept;
 
@@ -97,8 +107,9 @@
     key_report report;
 };
 
-using message = std::variant<hello, call, answer, cancel, inquiry, pending, ping, pong, subscription,
-                             settings_update, key_inquiry, key_inquiry_reply, update_part, part_receipt>;
+using message =
+    std::variant<hello, call, answer, cancel, inquiry, pending, ping, pong, subscription, settings_update,
+                 key_inquiry, key_inquiry_reply, update_part, part_receipt, crash_report>;
 
 /// @brief Whether a message counts against the budget of control traffic. True for all but calls and answers.
 [[nodiscard]] bool is_control(const message& item) noexcept;
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(c0e5ed917eb11710);
 CAPNP_DECLARE_SCHEMA(f4ba5f2c1304dc67);
 CAPNP_DECLARE_SCHEMA(f99c98c6dd86c02e);
+CAPNP_DECLARE_SCHEMA(9bd693da5c7d4763);
+CAPNP_DECLARE_SCHEMA(a0dbe5c3d0bc0eed);
 CAPNP_DECLARE_SCHEMA(8c90f986da6af7f4);
 CAPNP_DECLARE_SCHEMA(80b48e2d3d8e0d09);
 CAPNP_DECLARE_SCHEMA(b79049454c9d4eb4);
@@ -60,6 +62,7 @@
     KEY_REPORT,
     UPDATE_PART,
     PART_RECEIPT,
+    CRASH_REPORT,
   };
 
   struct _capnpPrivate {
@@ -235,6 +238,36 @@
   };
 };
 
+struct CrashEvidence {
+  CrashEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9bd693da5c7d4763, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a0dbe5c3d0bc0eed, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpdatePart {
   UpdatePart() = delete;
 
@@ -369,6 +402,10 @@
   inline bool hasPartReceipt() const;
   inline  ::chervilturn::wire::PartReceipt::Reader getPartReceipt() const;
 
+  inline bool isCrashReport() const;
+  inline bool hasCrashReport() const;
+  inline  ::chervilturn::wire::CrashReport::Reader getCrashReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -502,6 +539,14 @@
   inline void adoptPartReceipt(::capnp::Orphan< ::chervilturn::wire::PartReceipt>&& value);
   inline ::capnp::Orphan< ::chervilturn::wire::PartReceipt> disownPartReceipt();
 
+  inline bool isCrashReport();
+  inline bool hasCrashReport();
+  inline  ::chervilturn::wire::CrashReport::Builder getCrashReport();
+  inline void setCrashReport( ::chervilturn::wire::CrashReport::Reader value);
+  inline  ::chervilturn::wire::CrashReport::Builder initCrashReport();
+  inline void adoptCrashReport(::capnp::Orphan< ::chervilturn::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::chervilturn::wire::CrashReport> disownCrashReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -558,6 +603,8 @@
   inline bool hasPeerAddress() const;
   inline  ::capnp::Text::Reader getPeerAddress() const;
 
+  inline bool getAcceptsReports() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -613,6 +660,9 @@
   inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
+  inline bool getAcceptsReports();
+  inline void setAcceptsReports(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1807,6 +1857,194 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashEvidence::Reader {
+public:
+  typedef CrashEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh() const;
+
+  inline  ::uint64_t getRequestLow() const;
+
+  inline  ::uint64_t getCrash() const;
+
+  inline  ::uint64_t getAgeMicros() const;
+
+  inline bool hasDataCentres() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentres() const;
+
+  inline bool getCleared() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashEvidence::Builder {
+public:
+  typedef CrashEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequestHigh();
+  inline void setRequestHigh( ::uint64_t value);
+
+  inline  ::uint64_t getRequestLow();
+  inline void setRequestLow( ::uint64_t value);
+
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMicros();
+  inline void setAgeMicros( ::uint64_t value);
+
+  inline bool hasDataCentres();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDataCentres();
+  inline void setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDataCentres(unsigned int size);
+  inline void adoptDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentres();
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashEvidence::Pipeline {
+public:
+  typedef CrashEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpdatePart::Reader {
 public:
   typedef UpdatePart Reads;
@@ -2888,6 +3126,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isCrashReport() const {
+  return which() == Frame::CRASH_REPORT;
+}
+inline bool Frame::Builder::isCrashReport() {
+  return which() == Frame::CRASH_REPORT;
+}
+inline bool Frame::Reader::hasCrashReport() const {
+  if (which() != Frame::CRASH_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasCrashReport() {
+  if (which() != Frame::CRASH_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::chervilturn::wire::CrashReport::Reader Frame::Reader::getCrashReport() const {
+  KJ_IREQUIRE((which() == Frame::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::chervilturn::wire::CrashReport::Builder Frame::Builder::getCrashReport() {
+  KJ_IREQUIRE((which() == Frame::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setCrashReport( ::chervilturn::wire::CrashReport::Reader value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::chervilturn::wire::CrashReport::Builder Frame::Builder::initCrashReport() {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASH_REPORT);
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptCrashReport(
+    ::capnp::Orphan< ::chervilturn::wire::CrashReport>&& value) {
+  _builder.setDataField<Frame::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::chervilturn::wire::CrashReport> Frame::Builder::disownCrashReport() {
+  KJ_IREQUIRE((which() == Frame::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Hello::Reader::getProtocol() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3018,6 +3310,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::getAcceptsReports() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsReports() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsReports(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AttemptId::Reader::getEntry() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4469,6 +4775,148 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashEvidence::Reader::getRequestHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getRequestHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setRequestHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getRequestLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getRequestLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setRequestLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Reader::getAgeMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Builder::getAgeMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setAgeMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Reader::hasDataCentres() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasDataCentres() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashEvidence::Reader::getDataCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashEvidence::Builder::getDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashEvidence::Builder::setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashEvidence::Builder::initDataCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptDataCentres(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashEvidence::Builder::disownDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashEvidence::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashEvidence::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setEvidence( ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::chervilturn::wire::CrashEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t UpdatePart::Reader::getTransfer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/stand_ins/backend_server.cpp
+++ b/stand_ins/backend_server.cpp
@@ -2,10 +2,10 @@
 // drain or shed calls, publishes its load with a lag, and counts the runs of each call.
 //
 // Query parameters of a call: ms (service time in milliseconds), size (bytes of filler in the response body),
-// cut (closes the connection in the middle of the response body).
-// Control requests: POST /control/set?latency_us=&factor=&drain=&shed=&rate=&leaving=&cold=&reset= (cold and
-// reset act when present, whatever their value; an empty rate states none), GET /control/stats,
-// GET /control/runs?id=.
+// cut (closes the connection in the middle of the response body), crash (ends the process as the call
+// begins). Control requests: POST /control/set?latency_us=&factor=&drain=&shed=&rate=&leaving=&cold=&reset=
+// (cold and reset act when present, whatever their value; an empty rate states none), GET /control/stats, GET
+// /control/runs?id=.
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/transport/event_loop.hpp"
 #include "stand_ins/query.hpp"
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <cstdlib>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -23,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <tclap/CmdLine.h>
 
 namespace chervilturn::stand_ins {
@@ -54,8 +56,8 @@
   public:
     backend_stand_in(event_loop& io_loop, const backend_options& initial_options)
         : loop{&io_loop}, options{initial_options}, random{initial_options.seed},
-          boot_id{this->random.bits()}, load_report_timer{io_loop,
-                                                          [this] { this->reported_in_use = this->in_use; }} {
+          boot_id{std::random_device{}()}, load_report_timer{
+                                               io_loop, [this] { this->reported_in_use = this->in_use; }} {
         this->load_report_timer.start_periodic(initial_options.report_lag);
     }
 
@@ -107,6 +109,9 @@
 
     // A cold server that runs more than cold_slots calls collapses: its warm-up starts again.
     void run(const std::shared_ptr<backend_call>& started_call) {
+        if (started_call->url.has("crash")) {
+            std::_Exit(1);
+        }
         ++this->in_use;
         ++this->runs_by_call[started_call->id];
         ++this->total_runs;
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -101,6 +101,33 @@
         REQUIRE(succeeded(older));
         CHECK_FALSE(std::get<subscription>(value_of(older)).accepts_parts);
     }
+    SECTION("a node of an older version accepts no reports") {
+        capnp::MallocMessageBuilder builder;
+        auto older_hello = builder.initRoot<wire::Frame>().initHello();
+        older_hello.setProtocol(protocol_version);
+        older_hello.setPeerAddress("10.0.0.1:7000");
+        kj::VectorOutputStream packed;
+        capnp::writePackedMessage(packed, builder);
+        const auto bytes = packed.getArray();
+        const auto older = decode(std::as_bytes(std::span{bytes.begin(), bytes.size()}));
+        REQUIRE(succeeded(older));
+        CHECK_FALSE(std::get<hello>(value_of(older)).accepts_reports);
+    }
+    SECTION("evidence about crashes, as far as a data centre may hold it") {
+        const crash_report report{
+            .evidence = {{.request = {1, 2}, .crash = 3, .cleared = true, .age = 4s, .data_centres = {}},
+                         {.request = {5, 6}, .crash = 7, .age = 8s, .data_centres = {"a", "b"}}}};
+        const auto received_report = decode_frame(encode(report));
+        REQUIRE(succeeded(received_report));
+        const auto& decoded_report = std::get<crash_report>(value_of(received_report));
+        REQUIRE(decoded_report.evidence.size() == 2);
+        CHECK(decoded_report.evidence[0].request == request_fingerprint{1, 2});
+        CHECK(decoded_report.evidence[0].cleared);
+        CHECK(decoded_report.evidence[0].age == 4s);
+        CHECK(decoded_report.evidence[1].crash == 7);
+        CHECK(report_for("b", decoded_report).evidence.size() == 2);
+        CHECK(report_for("c", decoded_report).evidence.size() == 1);
+    }
     SECTION("parts of an update and their receipts") {
         const auto part = decode_frame(encode(
             update_part{.transfer = 4, .offset = 4096, .total = 5000, .bytes = std::string(904, 'x')}));
