After SIGTERM take only calls that end before the node does

Cause: during the notice a node took every call, also one whose deadline lies past the end of the grace time, as entry and as owner; at the end it closed their connections. It can happen here. Class of fault: work that is accepted without a look at the time that is left for it.

Ruled out: queued calls (refused when the notice ends), answers on their way (the node waits for them).

Change: with SIGTERM, entry and owner learn when the last call must have ended, 0.1 s before the grace time does; a call with a later deadline is refused as not run, and goes to another owner or back to its caller.

Conclusion: calls taken before the signal keep their full grace time; only later ones are chosen.

--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -158,6 +158,10 @@
     return !held.empty() && held.contains(fingerprint_of(checked));
 }
 
+void entry_task::handle(const shutdown_announced& message) {
+    this->last_end = message.last_end;
+}
+
 void entry_task::handle(const shutdown_started&) {
     this->shutting_down = true;
     this->server->close_after_responses();
@@ -248,6 +252,13 @@
                      id);
         return;
     }
+    if (this->last_end && now_monotonic() + request.original_call.remaining > *this->last_end) {
+        this->reject(
+            *exchange,
+            {status_unavailable, reason::shutting_down, "the node shuts down before the call's deadline"},
+            id);
+        return;
+    }
     if (this->is_held(request.original_call)) {
         this->reject(*exchange,
                      {status_bad_gateway, reason::request_held, "the same request crashed backend servers"},
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -7,6 +7,7 @@
 #include "chervilturn/selection/baseline_times.hpp"
 
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 namespace chervilturn {
@@ -37,6 +38,7 @@
     void handle(const settings_changed& message);
     void handle(const attempt_ended& message);
     void handle(const suspects_changed& message);
+    void handle(const shutdown_announced& message);
     void handle(const shutdown_started& message);
     void handle(const describe_request& request);
     void handle(const explain_request& request);
@@ -82,6 +84,7 @@
     std::unordered_map<attempt_id, call_iterator, attempt_id_hash> attempts;
     std::uint64_t sequence = 0; // of the latest attempt that this node started
     std::shared_ptr<const crash_suspects> suspects = std::make_shared<const crash_suspects>();
+    std::optional<instant> last_end; // of a call that may be taken; empty before a shutdown is announced
     bool shutting_down = false;
 };
 
--- a/src/chervilturn/node/messages.hpp
+++ b/src/chervilturn/node/messages.hpp
@@ -24,6 +24,11 @@
 /// in time.
 struct settings_confirmed {};
 
+/// @brief The node will shut down. Until shutdown_started it takes calls that end before it does.
+struct shutdown_announced {
+    instant last_end; // of a call that may still be taken
+};
+
 /// @brief The node starts a graceful shutdown.
 struct shutdown_started {};
 
@@ -60,8 +65,8 @@
 };
 
 /// @brief Messages to the entry task.
-using entry_message = std::variant<settings_changed, attempt_ended, suspects_changed, shutdown_started,
-                                   describe_request, explain_request>;
+using entry_message = std::variant<settings_changed, attempt_ended, suspects_changed, shutdown_announced,
+                                   shutdown_started, describe_request, explain_request>;
 
 /// @brief A later home of a key sent an inquiry about it to this owner.
 struct key_inquiry_received {
@@ -70,9 +75,9 @@
 };
 
 /// @brief Messages to the owner task.
-using owner_message =
-    std::variant<settings_changed, settings_stale, settings_confirmed, suspects_changed, shutdown_started,
-                 call, cancel, inquiry, key_inquiry_received, key_inquiry_reply, describe_request>;
+using owner_message = std::variant<settings_changed, settings_stale, settings_confirmed, suspects_changed,
+                                   shutdown_announced, shutdown_started, call, cancel, inquiry,
+                                   key_inquiry_received, key_inquiry_reply, describe_request>;
 
 /// @brief Sends an attempt to an owner on another host.
 struct send_attempt {
--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -25,6 +25,8 @@
 // When this node finishes its last call, calls from peers may still be in transit to it, so it stops only
 // after several idle checks in a row.
 constexpr std::uint32_t idle_checks_before_stop = 10;
+// Before the end of the grace time, for the last answers on their way.
+constexpr microseconds shutdown_margin = std::chrono::milliseconds{100};
 
 [[nodiscard]] node_context make_context(event_loop& loop, node_settings&& settings,
                                         node_protocols&& protocols, metrics& stats,
@@ -105,8 +107,8 @@
     return this->operators.start();
 }
 
-// GET /ready answers 503 from now on. Calls are still accepted until the drain delay has passed, so that
-// callers have time to choose another node.
+// GET /ready answers 503 from now on. Calls that end before the grace time does are still accepted until the
+// drain delay has passed, so that callers have time to choose another node.
 void node::parts::begin_shutdown() {
     if (this->shutdown.state() != shutdown_state::serving) {
         return;
@@ -114,6 +116,9 @@
     const auto& limits = this->context.settings.limits;
     this->shutdown.apply(shutdown_event::stop_requested);
     this->shutdown_deadline = now_monotonic() + limits.shutdown_grace;
+    const shutdown_announced announcement{this->shutdown_deadline - shutdown_margin};
+    this->mailboxes.entry.post(announcement);
+    this->mailboxes.owner.post(announcement);
     log_event(log_level::info, "shutdown_started",
               {{"notice_us", limits.drain_delay.count()}, {"grace_us", limits.shutdown_grace.count()}});
     this->drain_timer.start_once(limits.drain_delay);
--- a/src/chervilturn/node/owner_state.hpp
+++ b/src/chervilturn/node/owner_state.hpp
@@ -6,6 +6,7 @@
 #include "chervilturn/config/node_settings.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -27,8 +28,14 @@
     void accept(std::shared_ptr<const model> accepted) noexcept { this->settings = std::move(accepted); }
     void mark_stale() noexcept { this->stale = true; }
     void confirm() noexcept { this->stale = false; }
+    void announce_shutdown(instant last_end_of_calls) noexcept { this->last_end = last_end_of_calls; }
     void begin_shutdown() noexcept { this->in_shutdown = true; }
 
+    /// @brief Whether a call's deadline is after the node has shut down.
+    [[nodiscard]] bool outlasts_node(const call& received, instant now) const noexcept {
+        return this->last_end && now + received.remaining > *this->last_end;
+    }
+
     /// @brief Whether a probe since the start of the node had a result. Before, the node does not know what
     /// the backend server has stated, so it refuses calls.
     void set_probed(bool has_result) noexcept { this->probed = has_result; }
@@ -63,7 +70,8 @@
   private:
     const node_settings* self; // outlives this
     std::shared_ptr<const model> settings = std::make_shared<const model>();
-    bool stale = true; // no call is dispatched while true
+    bool stale = true;               // no call is dispatched while true
+    std::optional<instant> last_end; // of calls that may be taken; empty before a shutdown is announced
     bool in_shutdown = false;
     bool probed = false;       // no call is dispatched while false
     std::string reported_name; // by the backend server; empty before its first report
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -85,6 +85,10 @@
     this->recheck_queued();
 }
 
+void owner_task::handle(const shutdown_announced& message) {
+    this->state.announce_shutdown(message.last_end);
+}
+
 void owner_task::handle(const shutdown_started&) {
     this->state.begin_shutdown();
     this->refuse_queued(reason::shutting_down);
@@ -94,8 +98,10 @@
     if (this->is_duplicate(received)) {
         return;
     }
-    this->attempts.begin(received.attempt, now_monotonic() + received.remaining);
-    const auto refusal_cause = this->refusal_reason(received);
+    const auto now = now_monotonic();
+    this->attempts.begin(received.attempt, now + received.remaining);
+    const auto refusal_cause =
+        this->state.outlasts_node(received, now) ? reason::shutting_down : this->refusal_reason(received);
     if (refusal_cause != reason::none) {
         log_call(log_level::info, "call_refused",
                  {{"request", received.request_id},
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -41,6 +41,7 @@
     void handle(const settings_stale& message);
     void handle(const settings_confirmed& message);
     void handle(const suspects_changed& message);
+    void handle(const shutdown_announced& message);
     void handle(const shutdown_started& message);
     void handle(call&& received);
     void handle(const cancel& request);
