Use a connection no more for what a repeated refusal could be taken for

Cause: a response without a request id was taken for the answer to whatever was sent last, and a request that comes again may be sent on the connection that carried its refusal. Class of fault: an answer matched by its place alone.

Ruled out: a repetition that names another request (discarded, as the test before shows), bytes on an idle connection or behind an answer in the same read (the connection is closed).

Change: a response is the request's own, another's, or unmarked. After an unmarked one the connection is not used again, and a request is not sent on a connection that carried its id. A connection ends after 256 requests, so that it need not remember more.

Conclusion: holds for the users' protocol and the native one, whose refusals name no request.

--- a/src/chervilturn/node/backend_client.cpp
+++ b/src/chervilturn/node/backend_client.cpp
@@ -24,10 +24,11 @@
     return this->client.send(
         protocol->request(outgoing),
         http_send_options{.timeout = outgoing.remaining,
-                          .is_response =
+                          .match =
                               [protocol, id = outgoing.received->request_id](const http_response& response) {
-                                  return protocol->is_response_to(id, response);
-                              }},
+                                  return protocol->match(id, response);
+                              },
+                          .id = outgoing.received->request_id},
         [this, attempt, sent_at, handler = std::move(handler)](http_result result) {
             handler(this->to_answer(attempt, sent_at, std::move(result)));
         });
--- a/src/chervilturn/node/native_protocol.cpp
+++ b/src/chervilturn/node/native_protocol.cpp
@@ -32,6 +32,11 @@
     return ended.why == reason::timed_out ? gateway_timeout : bad_gateway;
 }
 
+[[nodiscard]] bool is_refusal(const http_response& response) {
+    return response.status == status_unavailable &&
+           find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run);
+}
+
 [[nodiscard]] server_statement statement_of(const http_response& response) {
     return read_statement(response.headers, {.calls_per_second = "chervilturn-calls-per-second",
                                              .leaving = "chervilturn-leaving"});
@@ -96,15 +101,13 @@
     return request;
 }
 
-bool native_backend_protocol::is_response_to(const std::string&, const http_response&) const {
-    return true;
+// Responses carry no request id. A refusal is the one response that must not be taken for a later call's.
+response_match native_backend_protocol::match(const std::string&, const http_response& response) const {
+    return is_refusal(response) ? response_match::unmarked : response_match::own;
 }
 
 backend_response native_backend_protocol::read(const http_response& response) const {
-    const bool is_refused =
-        response.status == status_unavailable &&
-        find_header(response.headers, "chervilturn-outcome") == to_string(outcome::not_run);
-    return {.kind = is_refused ? response_kind::refused : response_kind::answered,
+    return {.kind = is_refusal(response) ? response_kind::refused : response_kind::answered,
             .load = {},
             .statement = statement_of(response)};
 }
--- a/src/chervilturn/node/native_protocol.hpp
+++ b/src/chervilturn/node/native_protocol.hpp
@@ -19,8 +19,8 @@
 class native_backend_protocol final : public backend_protocol {
   public:
     [[nodiscard]] http_request request(const outgoing_call& outgoing) const override;
-    [[nodiscard]] bool is_response_to(const std::string& request_id,
-                                      const http_response& response) const override;
+    [[nodiscard]] response_match match(const std::string& request_id,
+                                       const http_response& response) const override;
     [[nodiscard]] backend_response read(const http_response& response) const override;
     [[nodiscard]] http_request probe(const std::string& path) const override;
     [[nodiscard]] std::optional<probe_report> read_probe(const http_response& response) const override;
--- a/src/chervilturn/node/protocol.hpp
+++ b/src/chervilturn/node/protocol.hpp
@@ -119,10 +119,10 @@
     /// @brief The HTTP request that carries a call.
     [[nodiscard]] virtual http_request request(const outgoing_call& outgoing) const = 0;
 
-    /// @brief Whether a response belongs to the call with this request id, and not to an earlier call on the
-    /// same connection.
-    [[nodiscard]] virtual bool is_response_to(const std::string& request_id,
-                                              const http_response& response) const = 0;
+    /// @brief Whether a response belongs to the call with this request id, or to an earlier call on the same
+    /// connection.
+    [[nodiscard]] virtual response_match match(const std::string& request_id,
+                                               const http_response& response) const = 0;
 
     /// @brief Parses the response to a call.
     [[nodiscard]] virtual backend_response read(const http_response& response) const = 0;
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -160,13 +160,24 @@
 class client_connection;
 } // namespace internal
 
+/// @brief Whether a response belongs to a request.
+enum class response_match {
+    own,      // it names the request
+    unmarked, // it names none, and nothing says that it belongs to another one
+    other     // it belongs to another request
+};
+
 /// @brief Options of one request.
 struct http_send_options {
     microseconds timeout{};      // from sending the request to the complete response, connecting included
     bool new_connection = false; // do not reuse an idle connection
-    /// Returns whether a response belongs to this request. Other responses are discarded, since a server may
-    /// have responded twice to an earlier request. Without this function, every response is accepted.
-    std::function<bool(const http_response&)> is_response;
+    /// Returns whether a response belongs to this request. Responses to others are discarded, since a server
+    /// may have responded twice to an earlier request. An unmarked response is accepted, but its connection
+    /// is not used again: nobody could tell a repetition of it. Without this function, every response is
+    /// accepted.
+    std::function<response_match(const http_response&)> match;
+    /// Name of the request in its responses. It is not sent on a connection that carried this name before.
+    std::string id;
 };
 
 /// @brief HTTP/1.1 client for one target address. A connection carries one request at a time and is reused
@@ -199,7 +210,7 @@
     friend class internal::client_connection;
     using connection_handle = std::shared_ptr<internal::client_connection>;
 
-    [[nodiscard]] connection_handle acquire_connection(bool force_new);
+    [[nodiscard]] connection_handle acquire_connection(bool force_new, const std::string& id);
     void release_connection(connection_handle connection);
     void discard_idle(const internal::client_connection& idle_connection) noexcept;
     void close_expired_connections();
--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/buffer.h>
+#include <set>
 
 namespace chervilturn {
 
@@ -16,6 +17,7 @@
 constexpr std::uint16_t first_final_status = 200; // 1xx responses precede the final one
 // Responses before the one to the request: interim ones, and late ones to earlier requests.
 constexpr std::uint32_t max_discarded_responses = 16;
+constexpr std::size_t max_carried_ids = 256; // of one connection, which is then replaced
 
 // The idle timeout that the server announced in its Keep-Alive header; zero if there is none.
 [[nodiscard]] microseconds announced_idle_timeout(const std::vector<header>& headers) {
@@ -68,6 +70,9 @@
 
     void start(http_client::exchange& new_exchange, const std::string& text) {
         this->current_exchange = &new_exchange;
+        if (!new_exchange.send_options.id.empty()) {
+            this->carried_ids.insert(new_exchange.send_options.id);
+        }
         this->discarded_responses = 0;
         this->reader.reset(new_exchange.head_request);
         this->write(text);
@@ -75,6 +80,11 @@
 
     [[nodiscard]] bool is_connected() const noexcept { return this->connected; }
 
+    /// @brief Whether it carried a request with this id; false for an empty id.
+    [[nodiscard]] bool has_carried(const std::string& id) const {
+        return !id.empty() && this->carried_ids.contains(id);
+    }
+
     [[nodiscard]] bool has_expired(instant now) const noexcept {
         return elapsed(this->last_used, now) >= this->idle_limit;
     }
@@ -113,14 +123,16 @@
             this->discard_response();
             return;
         }
-        if (this->current_exchange->send_options.is_response &&
-            !this->current_exchange->send_options.is_response(response)) {
-            this->must_close = true; // a server that responded twice may do so again
+        const auto& match = this->current_exchange->send_options.match;
+        const auto matched = match ? match(response) : response_match::own;
+        this->must_close = this->must_close || matched != response_match::own;
+        if (matched == response_match::other) {
             this->discard_response();
             return;
         }
-        const bool reusable =
-            message.keep_alive && !this->must_close && evbuffer_get_length(this->input()) == 0;
+        const bool reusable = message.keep_alive && !this->must_close &&
+                              this->carried_ids.size() < max_carried_ids &&
+                              evbuffer_get_length(this->input()) == 0;
         const auto announced_timeout = announced_idle_timeout(response.headers);
         if (announced_timeout > microseconds::zero()) {
             this->idle_limit = std::min(this->idle_limit, announced_timeout / 2);
@@ -172,7 +184,8 @@
     http_client::exchange* current_exchange = nullptr; // null while idle
     std::uint32_t discarded_responses = 0;             // since the request was sent
     bool connected = false;
-    bool must_close = false; // must not carry another request
+    bool must_close = false;           // must not carry another request
+    std::set<std::string> carried_ids; // of the requests on this connection
     instant last_used;
     microseconds idle_limit;
 };
@@ -206,16 +219,18 @@
 
 std::weak_ptr<http_client::exchange> http_client::send(const http_request& request, microseconds timeout,
                                                        response_handler handler) {
-    return this->send(request, http_send_options{.timeout = timeout, .is_response = {}}, std::move(handler));
+    return this->send(request, http_send_options{.timeout = timeout, .match = {}, .id = {}},
+                      std::move(handler));
 }
 
 std::weak_ptr<http_client::exchange>
 http_client::send(const http_request& request, http_send_options send_options, response_handler handler) {
     const bool force_new = send_options.new_connection;
+    const auto id = send_options.id;
     auto new_exchange = std::make_shared<exchange>(*this, std::move(send_options), std::move(handler),
                                                    request.method == "HEAD");
     this->in_progress.push_back(new_exchange);
-    new_exchange->connection = this->acquire_connection(force_new);
+    new_exchange->connection = this->acquire_connection(force_new, id);
     new_exchange->connection->start(*new_exchange, internal::request_text(request, this->target));
     return new_exchange;
 }
@@ -233,11 +248,15 @@
     this->idle.clear();
 }
 
-http_client::connection_handle http_client::acquire_connection(bool force_new) {
+http_client::connection_handle http_client::acquire_connection(bool force_new, const std::string& id) {
     const auto now = monotonic_clock::now();
-    while (!force_new && !this->idle.empty()) {
-        auto candidate = std::move(this->idle.back());
-        this->idle.pop_back();
+    for (auto position = this->idle.size(); !force_new && position > 0; --position) {
+        const auto found = this->idle.begin() + static_cast<std::ptrdiff_t>(position - 1);
+        if ((*found)->is_open() && !(*found)->has_expired(now) && (*found)->has_carried(id)) {
+            continue;
+        }
+        auto candidate = std::move(*found);
+        this->idle.erase(found);
         if (candidate->is_open() && !candidate->has_expired(now)) {
             return candidate;
         }
--- a/test/chervilturn/transport/http_test.cpp
+++ b/test/chervilturn/transport/http_test.cpp
@@ -68,13 +68,18 @@
     raw_server server{loop};
     http_client client{loop, server.local_address(), {}};
     std::optional<http_result> outcome;
-    const auto send = [&] {
-        static_cast<void>(client.send(
-            {.method = "GET", .target = "/", .headers = {}, .body = {}},
-            {.timeout = 5s,
-             .is_response =
-                 [](const http_response& response) { return find_header(response.headers, "id") == "1"; }},
-            [&outcome](http_result result) { outcome = std::move(result); }));
+    const auto send = [&](const std::string& id = "1") {
+        static_cast<void>(client.send({.method = "GET", .target = "/", .headers = {}, .body = {}},
+                                      {.timeout = 5s,
+                                       .match =
+                                           [id](const http_response& response) {
+                                               const auto marked = find_header(response.headers, "id");
+                                               return marked.empty() ? response_match::unmarked
+                                                      : marked == id ? response_match::own
+                                                                     : response_match::other;
+                                           },
+                                       .id = id},
+                                      [&outcome](http_result result) { outcome = std::move(result); }));
     };
     const std::string own_response = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r\nok";
 
@@ -94,6 +99,36 @@
         send();
         REQUIRE(wait_for(loop, [&] { return server.accepted() == 2; }));
     }
+    SECTION("a refusal without a mark is not taken for the answer to the next request") {
+        const std::string refusal = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+        send();
+        REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
+        server.write(refusal);
+        REQUIRE(wait_for(loop, [&] { return outcome.has_value(); }));
+        outcome.reset();
+        send("2");
+        REQUIRE(wait_for(loop, [&] { return server.accepted() == 2; }));
+    }
+    SECTION("a request that comes again is not sent on the connection that carried its refusal") {
+        send();
+        REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
+        server.write("HTTP/1.1 503 Unavailable\r\nid: 1\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(wait_for(loop, [&] { return outcome.has_value(); }));
+        outcome.reset();
+        send();
+        REQUIRE(wait_for(loop, [&] { return server.accepted() == 2; }));
+    }
+    SECTION("a request with another id is sent on a connection whose responses are marked") {
+        send();
+        REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
+        server.write(own_response);
+        REQUIRE(wait_for(loop, [&] { return outcome.has_value(); }));
+        outcome.reset();
+        const auto bytes_before = server.received().size();
+        send("2");
+        REQUIRE(wait_for(loop, [&] { return server.received().size() > bytes_before; }));
+        CHECK(server.accepted() == 1);
+    }
     SECTION("a reset cuts off a response without length, an orderly end completes it") {
         send();
         REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -168,8 +168,12 @@
     CHECK(kind_of(200, {id, signature, {"Content-Encoding", "gzip"}}) == response_kind::corrupted);
     CHECK(kind_of(503, {{"Chervilturn-Not-Executed", "1"}}) == response_kind::refused);
     CHECK(kind_of(421, {}) == response_kind::wrong_server);
-    CHECK_FALSE(backend.is_response_to(
-        "1", {.status = 200, .headers = {{"Chervilturn-Request-Id", "2"}}, .body = {}}));
+    CHECK(backend.match("1", {.status = 200, .headers = {{"Chervilturn-Request-Id", "2"}}, .body = {}}) ==
+          response_match::other);
+    CHECK(backend.match("1", {.status = 200, .headers = {{"Chervilturn-Request-Id", "1"}}, .body = {}}) ==
+          response_match::own);
+    CHECK(backend.match("1", {.status = 503, .headers = {{"Chervilturn-Not-Executed", "1"}}, .body = {}}) ==
+          response_match::unmarked);
     const auto load = read_load("3,1,8,250");
     REQUIRE(load);
     CHECK(load->running == 3);
