Test that an answer whose head or body ends early is no answer

It cannot happen here: a response counts from the empty line after its head on, and one that ends sooner, or before its stated length or last chunk, is a cut connection. A test of seven places to stop passes on the code as it was; nothing is changed.

--- a/test/chervilturn/transport/http_test.cpp
+++ b/test/chervilturn/transport/http_test.cpp
@@ -129,6 +129,21 @@
         REQUIRE(wait_for(loop, [&] { return server.received().size() > bytes_before; }));
         CHECK(server.accepted() == 1);
     }
+    SECTION("an answer whose head or body ends early is no answer") {
+        const std::string cut_answer =
+            GENERATE("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nid: 1",
+                     "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n",
+                     "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r",
+                     "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r\no",
+                     "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+        send();
+        REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
+        server.write(cut_answer);
+        REQUIRE(wait_for(loop, [&] { return server.all_sent(); }));
+        server.end();
+        REQUIRE(wait_for(loop, [&] { return outcome.has_value(); }));
+        CHECK(std::get<http_failure>(*outcome) == http_failure::cut);
+    }
     SECTION("a reset cuts off a response without length, an orderly end completes it") {
         send();
         REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
