--- a/src/chervilturn/node/fwd.hpp
+++ b/src/chervilturn/node/fwd.hpp
@@ -19,6 +19,7 @@
 class peer_server_task;
 class settings_followers;
 class crash_reports_task;
+class crash_watch;
 class control_task;
 class operators_task;
 class node;
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -1,6 +1,7 @@
 // Steps of a call at the owner: detect duplicates, check the settings, resolve the key, admit, dispatch.
 #include "chervilturn/node/owner_task.hpp"
 
+#include "chervilturn/node/owner_log.hpp"
 #include "chervilturn/observe/log.hpp"
 
 #include <algorithm>
@@ -23,11 +24,6 @@
     return now + remaining - std::min(reply_margin, remaining / reply_margin_divisor);
 }
 
-// A stated rate for logs and the status page.
-[[nodiscard]] std::string rate_text(std::optional<double> calls_per_second) {
-    return calls_per_second ? std::to_string(*calls_per_second) : "none";
-}
-
 [[nodiscard]] bool needs_key_resolution(const call& received) {
     return received.key.is_present() && !received.idempotent;
 }
@@ -35,8 +31,8 @@
 } // namespace
 
 owner_task::owner_task(const node_context& shared_context)
-    : context{&shared_context}, state{shared_context.settings}, admission{admission_options{},
-                                                                          now_monotonic()},
+    : context{&shared_context}, state{shared_context.settings},
+      admission{admission_options{}, now_monotonic()}, crashes{shared_context, this->state},
       attempts{attempt_record_options{}}, keys{shared_context,
                                                [this](call&& received, const key_decision& decision) {
                                                    this->on_key_resolved(std::move(received), decision);
@@ -47,11 +43,11 @@
                   this->on_call_statement(attempt, stated, sent_at);
               },
               {.on_cut = [this](const attempt_id& attempt) { this->on_call_cut(attempt); },
-               .on_refused = [this] { this->on_server_ended(this->state.server_name()); }}},
+               .on_refused = [this] { this->crashes.on_server_ended(this->state.server_name()); }}},
       pauses{now_monotonic()}, advance_timer{*shared_context.loop, [this] { this->advance(); }},
       probe{shared_context, this->backend.http(), this->admission.warm_up(),
             [this](const probe_report& report, instant sent_at) { this->on_probe_report(report, sent_at); },
-            [this] { this->on_server_ended(this->state.server_name()); }} {
+            [this] { this->crashes.on_server_ended(this->state.server_name()); }} {
     shared_context.mailboxes->owner.on_message([this](owner_message&& received) {
         this->check_for_pause();
         std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
@@ -81,7 +77,7 @@
 }
 
 void owner_task::handle(const suspects_changed& message) {
-    this->suspects = message.suspects;
+    this->crashes.update(message);
     this->recheck_queued();
 }
 
@@ -150,43 +146,14 @@
 
 reason owner_task::refusal_reason(const call& received) const {
     const auto why = this->state.refusal_reason(received);
-    const auto& held = this->suspects->held;
-    return why == reason::none && !held.empty() && held.contains(fingerprint_of(received))
-               ? reason::request_held
-               : why;
+    return why == reason::none && this->crashes.is_held(received) ? reason::request_held : why;
 }
 
 void owner_task::on_call_cut(const attempt_id& attempt) {
     const auto found = this->calls.find(attempt);
-    if (found == this->calls.end()) {
-        return;
-    }
-    const auto& received = found->second.received;
-    this->crashes.on_cut(
-        {.request = fingerprint_of(received), .data_centres = this->state.permitted_data_centres(received)},
-        now_monotonic());
-    this->probe.send(); // shows at once whether the server has ended
-}
-
-void owner_task::on_server_ended(const std::string& name) {
-    auto running = this->crashes.on_ended(now_monotonic());
-    if (!running.empty()) {
-        this->context->mailboxes->crash_reports.post(backend_crashed{name, std::move(running)});
-    }
-}
-
-void owner_task::report_completion(const call& received, const answer& ended) {
-    if (ended.result != outcome::completed) {
-        return;
-    }
-    this->crashes.on_answered(now_monotonic() - ended.service_time);
-    const auto& suspected = this->suspects->suspected;
-    if (suspected.empty()) {
-        return;
-    }
-    const auto request = fingerprint_of(received);
-    if (suspected.contains(request)) {
-        this->context->mailboxes->crash_reports.post(request_completed{request});
+    if (found != this->calls.end()) {
+        this->crashes.on_call_cut(found->second.received);
+        this->probe.send(); // shows at once whether the server has ended
     }
 }
 
@@ -337,7 +304,7 @@
                             : instant::max(),
         .baseline_service_time = received.baseline_service_time};
     const auto decision = this->admission.admit(new_entry, now);
-    this->log_admission(received, decision);
+    log_admission(received, decision, this->admission, this->statements);
     if (const auto* refusal = std::get_if<refused>(&decision)) {
         auto refusal_answer = refuse(attempt, outcome::not_run, refusal->why);
         refusal_answer.retry_after = refusal->retry_after;
@@ -365,42 +332,6 @@
     this->dispatch(attempt);
 }
 
-void owner_task::log_admission(const call& received, const admission_decision& decision) const {
-    const auto* refusal = std::get_if<refused>(&decision);
-    const auto load = this->admission.report();
-    log_call(log_level::info,
-             refusal != nullptr                         ? "call_refused"
-             : std::holds_alternative<queued>(decision) ? "call_queued"
-                                                        : "call_admitted",
-             {{"request", received.request_id},
-              {"entry", received.attempt.entry},
-              {"reason", to_string(refusal != nullptr ? refusal->why : reason::none)},
-              {"state", name_of(this->admission.warm_up().state())},
-              {"in_use", load.in_use},
-              {"queued", load.queued},
-              {"limit", load.limit},
-              {"slowdown_percent", load.slowdown_percent},
-              {"stated_rate", rate_text(load.calls_per_second)},
-              {"rate_age_us", this->statements.rate_age(now_monotonic()).count()},
-              {"rate_wait_us", this->admission.rate_wait(now_monotonic()).count()},
-              {"recent_service_us", this->admission.warm_up().recent_service_time().count()},
-              {"remaining_us", received.remaining.count()}});
-}
-
-// Logs the refusal of a call that was queued or had been chosen for dispatch.
-void owner_task::log_late_refusal(const call& received, reason why) const {
-    const auto load = this->admission.report();
-    log_call(log_level::info, "call_refused",
-             {{"request", received.request_id},
-              {"entry", received.attempt.entry},
-              {"reason", to_string(why)},
-              {"after", "waiting"},
-              {"in_use", load.in_use},
-              {"queued", load.queued},
-              {"limit", load.limit},
-              {"slowdown_percent", load.slowdown_percent}});
-}
-
 // Repeats the check of the settings and the deadline, then sends the call to the backend server.
 void owner_task::dispatch(const attempt_id& attempt) {
     auto& owned = this->calls.at(attempt);
@@ -440,7 +371,9 @@
     this->context->stats->record_step(
         {.service = received.service, .urgent = received.urgent, .step = call_step::backend_server},
         ended.service_time);
-    this->report_completion(received, ended);
+    if (ended.result == outcome::completed) {
+        this->crashes.on_completed(received, ended.service_time);
+    }
     ended.backend_server = found->second.server_name;
     if (ended.why == reason::backend_renamed) {
         log_event(log_level::warn, "backend_server_renamed",
@@ -457,7 +390,7 @@
     if (this->state.set_server_name(report.server_name)) {
         log_event(log_level::info, "backend_server_named",
                   {{"name", report.server_name}, {"before", previous_name}});
-        this->on_server_ended(previous_name);
+        this->crashes.on_server_ended(previous_name);
         this->admission.cold_limit().presume_cold(now);
         this->statements.reset();
         this->admission.stated_limit().set_rate(std::nullopt, now);
@@ -549,7 +482,7 @@
     const auto owned = std::move(found->second);
     this->calls.erase(found);
     if (!owned.running) {
-        this->log_late_refusal(owned.received, ended.why);
+        log_late_refusal(owned.received, ended.why, this->admission);
     }
     if (needs_key_resolution(owned.received)) {
         this->attempts_by_key.erase(scoped_key(owned.received).text);
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -3,11 +3,11 @@
 
 #include "chervilturn/admission/admission_controller.hpp"
 #include "chervilturn/admission/attempt_record.hpp"
-#include "chervilturn/admission/crash_record.hpp"
 #include "chervilturn/membership/pause_detector.hpp"
 #include "chervilturn/node/backend_client.hpp"
 #include "chervilturn/node/backend_probe.hpp"
 #include "chervilturn/node/context.hpp"
+#include "chervilturn/node/crash_watch.hpp"
 #include "chervilturn/node/key_resolver.hpp"
 #include "chervilturn/node/messages.hpp"
 #include "chervilturn/node/owner_state.hpp"
@@ -53,10 +53,7 @@
     // Why the call must not run now, also because its request is held; none if it may. Hashes the request
     // while any is held, so it is asked once on arrival, and again when waiting calls may have become held.
     [[nodiscard]] reason refusal_reason(const call& received) const;
-    // Signs of a crash of the backend server: a running call lost its connection, or the server has ended.
     void on_call_cut(const attempt_id& attempt);
-    void on_server_ended(const std::string& name);
-    void report_completion(const call& received, const answer& ended);
     void cancel_before_admission(const attempt_id& attempt);
     void check_for_pause();
     // Whether the attempt was received before; replies to it if it has ended or is fenced.
@@ -65,8 +62,6 @@
     // Answers a call together with the call in progress that has the same key.
     void join_duplicate(const call& received);
     void admit(call&& received);
-    void log_admission(const call& received, const admission_decision& decision) const;
-    void log_late_refusal(const call& received, reason why) const;
     void dispatch(const attempt_id& attempt);
     void on_backend_answer(answer ended);
     void on_probe_report(const probe_report& report, instant sent_at);
@@ -89,8 +84,7 @@
     bool probe_says_draining = false; // in the last probe report
     std::string last_unreadable_rate; // in the latest response; empty when that one was readable
     admission_controller admission;
-    crash_detector crashes;
-    std::shared_ptr<const crash_suspects> suspects = std::make_shared<const crash_suspects>();
+    crash_watch crashes;
     attempt_record attempts;
     key_resolver keys;
     std::unordered_map<attempt_id, owned_call, attempt_id_hash> calls;
