Send less evidence about crashes: four peers a side, 32 pieces a second

Cause: by arithmetic, the loss of many servers under load made every node send evidence of each to sixteen peers at once and all of it again every second for half a minute, past the 5 KB/s for control.

Change: eight peers at once, and repeated pieces are bounded, those of several crashes first.

Conclusion: bounded; a home for each fingerprint stays open.

--- a/src/chervilturn/node/crash_reports_task.cpp
+++ b/src/chervilturn/node/crash_reports_task.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr std::size_t peers_at_once = 8; // that get new evidence, of each direction of connections
+constexpr std::size_t peers_at_once = 4; // that get new evidence, of each direction of connections
 constexpr std::size_t peers_repeated = 1;
+constexpr std::size_t max_repeated = 32; // pieces of evidence each time
 constexpr microseconds repeat_period = std::chrono::seconds{1};
 constexpr microseconds repeated_for = std::chrono::seconds{30};
 
@@ -124,6 +125,11 @@
         this->update_tasks();
     }
     auto young = this->record.evidence(now, repeated_for);
+    // Requests that crashed several servers first: most suspects of one crash never come again.
+    std::stable_sort(young.begin(), young.end(), [this](const auto& left, const auto& right) {
+        return this->record.crashes_of(left.request) > this->record.crashes_of(right.request);
+    });
+    young.resize(std::min(young.size(), max_repeated));
     if (!young.empty()) {
         this->context->mailboxes->peer_client.post(spread_report{{young}, peers_repeated});
         this->context->mailboxes->peer_server.post(spread_report{{std::move(young)}, peers_repeated});
