One piece of code for drawing peers, ending a bench's fleet and reading an older node's message

Twins that the check of duplicates and a reading of the change showed: both peer tasks drew random peers for a report, two benches ended their fleets with the same lines, two codec tests decoded a message of an older node in the same way.

random_source::sample, end_fleet and decode_message take their place.

--- a/bench/capacity_slopes.lua
+++ b/bench/capacity_slopes.lua
@@ -79,11 +79,7 @@
       count, rate, (cpu_after - cpu) / result.all.calls * 1e6, result.all.p50_us, result.all.p99_us,
       result.all.outcomes.completed or 0, result.all.calls, memory)
   end
-  for _, node in ipairs(f.node_list) do
-    signal(node.pid, "KILL")
-    signal(node.backend_pid, "KILL")
-  end
-  signal(f.platform.pid, "KILL")
+  end_fleet(f)
 end
 
 for _, count in ipairs { 6, 12, 24, 48 } do measure_fleet(count) end
--- a/bench/large_changes.lua
+++ b/bench/large_changes.lua
@@ -69,11 +69,7 @@
     printf("%2d nodes, %4d routes (%d random bytes): everywhere %.2f s after the first node, %.0f control bytes and %.0f ms of processor time a node",
       count, route_count, content_bytes, spread, (bytes_after - bytes) / count, (cpu_after - cpu) / count * 1e3)
   end
-  for _, node in ipairs(f.node_list) do
-    signal(node.pid, "KILL")
-    signal(node.backend_pid, "KILL")
-  end
-  signal(f.platform.pid, "KILL")
+  end_fleet(f)
 end
 
 for _, nodes_per_data_centre in ipairs { 2, 8, 16 } do measure_fleet(nodes_per_data_centre) end
--- a/bench/lib.lua
+++ b/bench/lib.lua
@@ -43,3 +43,12 @@
   for _, node in ipairs(f.node_list) do list[#list + 1] = address_of(node.caller_port) end
   return list
 end
+
+-- Ends all processes of a fleet, before the next one is measured.
+function end_fleet(f)
+  for _, node in ipairs(f.node_list) do
+    signal(node.pid, "KILL")
+    signal(node.backend_pid, "KILL")
+  end
+  signal(f.platform.pid, "KILL")
+end
--- a/src/chervilturn/core/random.hpp
+++ b/src/chervilturn/core/random.hpp
@@ -2,9 +2,11 @@
 // reproducible.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <random>
+#include <vector>
 
 namespace chervilturn {
 
@@ -18,6 +20,14 @@
         return std::uniform_int_distribution<std::size_t>{0, count - 1}(this->engine);
     }
 
+    /// @brief At most count of the items, drawn without repetition, in random order.
+    template<typename Item>
+    [[nodiscard]] std::vector<Item> sample(std::vector<Item> items, std::size_t count) {
+        std::shuffle(items.begin(), items.end(), this->engine);
+        items.resize(std::min(items.size(), count));
+        return items;
+    }
+
     /// @brief A uniformly distributed number in [low, high).
     [[nodiscard]] double uniform(double low, double high) {
         return std::uniform_real_distribution<double>{low, high}(this->engine);
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -103,13 +103,15 @@
             ready.push_back(&target);
         }
     }
-    for (std::size_t sent = 0; sent < request.peers && !ready.empty(); ++sent) {
-        const auto chosen = this->random.index(ready.size());
-        const auto report = report_for(ready[chosen]->data_centre, request.report);
-        if (!report.evidence.empty()) {
-            this->send_on(*ready[chosen], report);
-        }
-        ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(chosen));
+    for (auto* target : this->random.sample(std::move(ready), request.peers)) {
+        this->send_report(*target, request.report);
+    }
+}
+
+void peer_client_task::send_report(link& target, const crash_report& report) {
+    const auto permitted = report_for(target.data_centre, report);
+    if (!permitted.evidence.empty()) {
+        this->send_on(target, permitted);
     }
 }
 
@@ -230,12 +232,8 @@
     this->context->mailboxes->crash_reports.post(
         peer_introduced{[this, peer = target.peer](const crash_report& report) {
             const auto found = this->links.find(peer);
-            if (found == this->links.end() || !found->second.accepts_reports) {
-                return;
-            }
-            const auto permitted = report_for(found->second.data_centre, report);
-            if (!permitted.evidence.empty()) {
-                this->send_on(found->second, permitted);
+            if (found != this->links.end() && found->second.accepts_reports) {
+                this->send_report(found->second, report);
             }
         }});
 }
--- a/src/chervilturn/node/peer_client_task.hpp
+++ b/src/chervilturn/node/peer_client_task.hpp
@@ -83,6 +83,7 @@
     void write_call(link& target, call&& outgoing);
     void send_unsent(link& target);
     void end_attempt(const attempt_id& attempt, const outstanding_attempt& state, outcome result, reason why);
+    void send_report(link& target, const crash_report& report);
     void send_on(link& target, const message& outgoing);
     static void forget_cancelled(link& target, instant now);
     void check_links();
--- a/src/chervilturn/node/peer_server_task.cpp
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -84,10 +84,8 @@
             ready.push_back(connection_number);
         }
     }
-    for (std::size_t sent = 0; sent < request.peers && !ready.empty(); ++sent) {
-        const auto chosen = this->random.index(ready.size());
-        this->send_report(ready[chosen], request.report);
-        ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(chosen));
+    for (const auto connection_number : this->random.sample(std::move(ready), request.peers)) {
+        this->send_report(connection_number, request.report);
     }
 }
 
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -17,6 +17,14 @@
     return decode(std::as_bytes(std::span{frame}.subspan(frame_header_bytes)));
 }
 
+// Decodes a message of which only some fields were set, as one of an older version.
+result<message, codec_error> decode_message(capnp::MallocMessageBuilder& builder) {
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const auto bytes = packed.getArray();
+    return decode(std::as_bytes(std::span{bytes.begin(), bytes.size()}));
+}
+
 call sample_call() {
     call sample;
     sample.attempt = {7, 9};
@@ -94,10 +102,7 @@
     SECTION("a subscriber of an older version accepts no parts") {
         capnp::MallocMessageBuilder builder;
         builder.initRoot<wire::Frame>().initSubscribe().setFollow(true);
-        kj::VectorOutputStream packed;
-        capnp::writePackedMessage(packed, builder);
-        const auto bytes = packed.getArray();
-        const auto older = decode(std::as_bytes(std::span{bytes.begin(), bytes.size()}));
+        const auto older = decode_message(builder);
         REQUIRE(succeeded(older));
         CHECK_FALSE(std::get<subscription>(value_of(older)).accepts_parts);
     }
@@ -106,10 +111,7 @@
         auto older_hello = builder.initRoot<wire::Frame>().initHello();
         older_hello.setProtocol(protocol_version);
         older_hello.setPeerAddress("10.0.0.1:7000");
-        kj::VectorOutputStream packed;
-        capnp::writePackedMessage(packed, builder);
-        const auto bytes = packed.getArray();
-        const auto older = decode(std::as_bytes(std::span{bytes.begin(), bytes.size()}));
+        const auto older = decode_message(builder);
         REQUIRE(succeeded(older));
         CHECK_FALSE(std::get<hello>(value_of(older)).accepts_reports);
     }
