--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -30,17 +30,26 @@
 
 void settings_reader::deactivate() {
     this->is_active = false;
-    ++this->round;
+    this->abandon_request();
     this->watch_timer.stop();
 }
 
 void settings_reader::refresh() {
     if (this->is_active) {
-        ++this->round;
+        this->abandon_request();
         this->schedule(microseconds::zero());
     }
 }
 
+void settings_reader::abandon_request() {
+    if (this->pending_reads > 0) {
+        log_event(log_level::info, "platform_read_abandoned",
+                  {{"revision", this->current.revision}, {"unread", this->pending_reads}});
+        this->pending_reads = 0;
+    }
+    ++this->round;
+}
+
 void settings_reader::watch() {
     const auto started_round = ++this->round;
     ++this->context->stats->counters().platform_reads;
@@ -57,6 +66,12 @@
 void settings_reader::on_watched(std::uint64_t reply_round,
                                  const result<watch_result, platform_error>& response) {
     if (reply_round != this->round) {
+        if (succeeded(response) && !value_of(response).changed.empty()) {
+            log_event(log_level::info, "platform_result_dropped",
+                      {{"revision", value_of(response).revision},
+                       {"leaves", value_of(response).changed.size()},
+                       {"read_revision", this->last_read_revision}});
+        }
         return;
     }
     if (!succeeded(response)) {
@@ -125,6 +140,13 @@
         log_event(log_level::info, "platform_reached",
                   {{"revision", this->current.revision}, {"failures_before", this->failures}});
     }
+    if (!this->current.leaves.empty()) {
+        log_event(log_level::info, "platform_read",
+                  {{"after", this->last_read_revision},
+                   {"revision", this->current.revision},
+                   {"complete", this->current.complete ? "yes" : "no"},
+                   {"leaves", this->current.leaves.size()}});
+    }
     this->failures = 0;
     this->ever_succeeded = true;
     this->last_read_revision = std::max(this->last_read_revision, this->current.revision);
@@ -148,7 +170,7 @@
 }
 
 void settings_reader::back_off(const platform_error& error) {
-    ++this->round;
+    this->abandon_request();
     ++this->context->stats->counters().platform_failures;
     const auto delay = delay_after(this->failures, {}, this->random);
     if (this->failures == 0) {
--- a/src/chervilturn/node/settings_reader.hpp
+++ b/src/chervilturn/node/settings_reader.hpp
@@ -58,6 +58,8 @@
     void read_next_leaf(std::uint64_t reply_round);
     void on_leaf_read(std::uint64_t reply_round, const result<leaf, platform_error>& response);
     void finish_batch();
+    // Ignores the replies that are still expected.
+    void abandon_request();
     void back_off(const platform_error& error);
     void schedule(microseconds delay);
 
