Report a change of the store again until its reader confirms it

Callers saw: calls handled by an older configuration, or refused with 404, seconds after a change was due; the node had newer changes and not this one.

Cause: the adapter moved its cursor when it reported a change; the reader drops results of a request that it abandons (a pause of the process, a change of the list of nodes). Reading a large configuration takes half a second on a tenth of a core, which the node takes for a pause, so that the change itself makes the reader drop it. From then on "newer than revision R" leaves it out at the reader and at all that follow it. Two requests at a time could also apply an older state after a newer one. Class: a cursor that moves without the data.

Change: results are numbered, the reader confirms what it has read, and the adapter lists changes (and that a load was complete) until then. A new watch replaces the one before, whose response is ignored.

Ruled out: to let the reader keep late results (it cannot tell which of two requests is newer); one revision a stream (the order of both streams is the store's; only the loss made it matter).

--- a/src/chervilturn/node/platform.hpp
+++ b/src/chervilturn/node/platform.hpp
@@ -24,6 +24,7 @@
 struct watch_result {
     revision_number revision = 0; // up to which changes are listed
     bool complete = false;        // every leaf is listed; any other leaf does not exist
+    std::uint64_t number = 0;     // of the result, for confirm()
     std::vector<changed_leaf> changed;
 };
 
@@ -39,11 +40,15 @@
     virtual ~platform() = default;
 
     /// @brief Waits for changes after a revision, at most for the given time. The result lists no leaf when
-    /// nothing has changed by then.
+    /// nothing has changed by then. A call replaces the one before, whose handler may never be called.
     virtual void watch(revision_number after, microseconds wait, watch_handler handler) = 0;
 
     /// @brief Reads one leaf. The result is marked as removed when the leaf has no value.
     virtual void read(const std::string& path, read_handler handler) = 0;
+
+    /// @brief The caller has read everything that a result of watch() lists. Until then the platform lists it
+    /// again in later results, unless these depend on the requested revision alone.
+    virtual void confirm(std::uint64_t result_number) = 0;
 };
 
 /// @brief Client for the HTTP interface that docs/PLATFORM.md describes. After a failed request, further
@@ -54,6 +59,7 @@
 
     void watch(revision_number after, microseconds wait, watch_handler handler) override;
     void read(const std::string& path, read_handler handler) override;
+    void confirm(std::uint64_t) override {}
 
   private:
     using body_handler = std::function<void(result<std::string, platform_error>)>;
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -85,6 +85,7 @@
     }
     this->current = batch{.revision = changes.revision,
                           .complete = changes.complete,
+                          .number = changes.number,
                           .subtree_revisions = {},
                           .unread = {},
                           .leaves = {}};
@@ -167,6 +168,7 @@
     }
     this->schedule(this->context->settings.reading.pause);
     this->handler(std::move(snapshot_list));
+    this->platform_client->confirm(this->current.number);
 }
 
 void settings_reader::back_off(const platform_error& error) {
--- a/src/chervilturn/node/settings_reader.hpp
+++ b/src/chervilturn/node/settings_reader.hpp
@@ -47,7 +47,8 @@
   private:
     struct batch {
         revision_number revision = 0;
-        bool complete = false; // the batch lists every leaf; any other leaf does not exist
+        bool complete = false;    // the batch lists every leaf; any other leaf does not exist
+        std::uint64_t number = 0; // of the platform's result
         std::map<std::string, revision_number> subtree_revisions; // newest change of each subtree
         std::deque<std::string> unread;                           // paths
         std::vector<leaf> leaves;
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -54,7 +54,8 @@
                 this->loop->stop();
                 return;
             }
-            this->read(value_of(changes), [&] {
+            this->read(value_of(changes), [&, number = value_of(changes).number] {
+                this->mirror->confirm(number);
                 outcome = true;
                 this->loop->stop();
             });
--- a/test/platform/settings_reader_test.cpp
+++ b/test/platform/settings_reader_test.cpp
@@ -60,6 +60,8 @@
         this->observed->read(path, std::move(handler));
     }
 
+    void confirm(std::uint64_t result_number) override { this->observed->confirm(result_number); }
+
   private:
     std::unique_ptr<platform> observed;
     std::function<void()>* on_result;
--- a/test/platform/store_platform_test.cpp
+++ b/test/platform/store_platform_test.cpp
@@ -115,20 +115,22 @@
             snapshot.subtree = name;
             snapshot.revision = changes.revision;
             snapshot.complete = changes.complete;
-            this->platform->read(item.path, [this, snapshots, name, count = changes.changed.size()](
-                                                const result<leaf, platform_error>& read_leaf) {
-                REQUIRE(succeeded(read_leaf));
-                (*snapshots)[name].leaves.push_back(value_of(read_leaf));
-                std::size_t total = 0;
-                for (const auto& [key, subtree_changes] : *snapshots) {
-                    total += subtree_changes.leaves.size();
-                }
-                if (total == count) {
+            this->platform->read(
+                item.path, [this, snapshots, name, number = changes.number,
+                            count = changes.changed.size()](const result<leaf, platform_error>& read_leaf) {
+                    REQUIRE(succeeded(read_leaf));
+                    (*snapshots)[name].leaves.push_back(value_of(read_leaf));
+                    std::size_t total = 0;
                     for (const auto& [key, subtree_changes] : *snapshots) {
-                        static_cast<void>(this->tree.offer(subtree_changes));
+                        total += subtree_changes.leaves.size();
                     }
-                }
-            });
+                    if (total == count) {
+                        for (const auto& [key, subtree_changes] : *snapshots) {
+                            static_cast<void>(this->tree.offer(subtree_changes));
+                        }
+                        this->platform->confirm(number);
+                    }
+                });
         }
     }
 
--- a/test/platform/store_wire_test.cpp
+++ b/test/platform/store_wire_test.cpp
@@ -57,6 +57,9 @@
         while (!outcome) {
             this->loop.run();
         }
+        if (succeeded(*outcome)) {
+            this->platform->confirm(value_of(*outcome).number);
+        }
         return *outcome;
     }
 
