--- a/test/platform/store_platform_test.cpp
+++ b/test/platform/store_platform_test.cpp
@@ -71,6 +71,7 @@
     node_settings settings;
     std::unique_ptr<store_platform> platform;
     settings_tree tree;
+    std::size_t reported_leaves = 0; // by the latest watch
 
     mirrored_tree() {
         this->settings.peers = {"127.0.0.1", 7000};
@@ -86,6 +87,7 @@
         this->platform->watch(0, 0ms, [&](const result<watch_result, platform_error>& changes) {
             outcome = succeeded(changes);
             if (succeeded(changes)) {
+                this->reported_leaves = value_of(changes).changed.size();
                 this->offer(value_of(changes));
             }
         });
@@ -154,6 +156,13 @@
         REQUIRE(mirror.watch());
         CHECK(mirror.route_service() == "s2");
     }
+    SECTION("after several changes of an item in one response, with the last one only") {
+        mirror.store.answer(200,
+                            {{"events", {config_item("s2", 19), config_item("s1", 20)}}, {"at_rev", 20}});
+        REQUIRE(mirror.watch());
+        CHECK(mirror.route_service() == "s1");
+        CHECK(mirror.reported_leaves == 0);
+    }
     SECTION("after lost history, also when a value changed and changed back in between") {
         // Another node sent the intermediate value.
         auto changed = mirror.tree.newer_than({});
