End the subscription at a former parent

Callers saw: settings that arrived late.

Change: a subscription can end; older nodes take it for a request from the present revisions. Class: state at a peer that nobody takes back.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -110,6 +110,7 @@
   nonce @1 :UInt64;
   follow @2 :Bool;
   acceptsParts @3 :Bool;  # the receiver of a large update may get it as a series of UpdatePart
+  ends @4 :Bool;  # the sender follows no longer; older nodes answer it as a request without follow
 }
 
 struct Leaf {
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -227,7 +227,8 @@
 
 void control_task::follow(const address& peer) {
     if (this->followed_parent && *this->followed_parent != peer) {
-        this->context->mailboxes->peer_client.post(end_subscription{*this->followed_parent});
+        this->context->mailboxes->peer_client.post(
+            end_subscription{*this->followed_parent, this->tree.digest()});
     }
     log_event(log_level::info, "parent_followed", {{"peer", to_string(peer)}});
     this->followed_parent = peer;
--- a/src/chervilturn/node/messages.hpp
+++ b/src/chervilturn/node/messages.hpp
@@ -107,6 +107,7 @@
 /// @brief Stops receiving updates from a peer.
 struct end_subscription {
     address peer;
+    std::vector<subtree_revision> revisions; // of this node, for a peer of an older version
 };
 
 /// @brief Sends evidence about crashes to some connected peers, drawn at random. A peer gets what its data
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -87,8 +87,12 @@
 
 void peer_client_task::handle(const end_subscription& request) {
     const auto found = this->links.find(request.peer);
-    if (found != this->links.end()) {
-        found->second.followed = false;
+    if (found == this->links.end()) {
+        return;
+    }
+    found->second.followed = false;
+    if (found->second.is_ready()) { // the peer forgets the subscriptions of a connection that ends
+        this->send_on(found->second, subscription{.revisions = request.revisions, .ends = true});
     }
 }
 
--- a/src/chervilturn/node/settings_followers.cpp
+++ b/src/chervilturn/node/settings_followers.cpp
@@ -26,6 +26,10 @@
 
 void settings_followers::on_subscribed(const peer_subscribed& message) {
     const auto& request = message.request;
+    if (request.ends) {
+        this->followers.erase(message.subscriber);
+        return;
+    }
     auto& target = this->followers[message.subscriber];
     target.peer = message.peer_address;
     target.follows = target.follows || request.follow;
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -81,6 +81,7 @@
     target.setNonce(outgoing.nonce);
     target.setFollow(outgoing.follow);
     target.setAcceptsParts(outgoing.accepts_parts);
+    target.setEnds(outgoing.ends);
     auto list = target.initSubtrees(static_cast<unsigned>(revisions.size()));
     for (std::size_t index = 0; index < revisions.size(); ++index) {
         auto item = list[static_cast<unsigned>(index)];
@@ -94,7 +95,8 @@
     subscription received{.revisions = {},
                           .nonce = source.getNonce(),
                           .follow = source.getFollow(),
-                          .accepts_parts = source.getAcceptsParts()};
+                          .accepts_parts = source.getAcceptsParts(),
+                          .ends = source.getEnds()};
     for (const auto item : source.getSubtrees()) {
         received.revisions.push_back({from_text(item.getSubtree()), item.getRevision(), item.getVersion()});
     }
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -50,12 +50,13 @@
 };
 
 /// @brief Requests the settings newer than the listed revisions: once, or also on every later change when
-/// follow is set.
+/// follow is set. One that ends requests nothing.
 struct subscription {
     std::vector<subtree_revision> revisions;
     std::uint64_t nonce = 0; // copied into the direct reply
     bool follow = false;
     bool accepts_parts = true; // false from nodes of older versions
+    bool ends = false;         // the sender follows no longer
 };
 
 /// @brief Settings newer than the receiver's. Without subtrees, it confirms that the receiver is up to date.
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -1494,6 +1494,8 @@
 
   inline bool getAcceptsParts() const;
 
+  inline bool getEnds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1538,6 +1540,9 @@
   inline bool getAcceptsParts();
   inline void setAcceptsParts(bool value);
 
+  inline bool getEnds();
+  inline void setEnds(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4521,6 +4526,20 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::getEnds() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getEnds() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setEnds(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leaf::Reader::hasPath() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -98,6 +98,7 @@
     CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).version == 12);
     CHECK(std::get<subscription>(value_of(received_request)).follow);
     CHECK(std::get<subscription>(value_of(received_request)).accepts_parts);
+    CHECK_FALSE(std::get<subscription>(value_of(received_request)).ends);
 
     SECTION("a subscriber of an older version accepts no parts") {
         capnp::MallocMessageBuilder builder;
