Keep a parent while the tree stays flat, and let joining nodes follow others

Callers saw: settings that arrived late, and a link busy with the same update from several peers.

Cause: a host's parent followed from its rank alone, so that one join or leave moved about a fifth of the hosts of its data centre to another parent, also in the middle of a transfer, which then began anew from another node. A node that was not in the list yet read the whole configuration from the store. Class: a layout that changes as a whole.

Change: the present parent stays while it is less deep than the node; nobody moves during a transfer; an unlisted host has the parents of the last one. The check that an unlisted host is a reader is replaced: it must have parents that are listed, and still be a reader where the list has no host of its data centre.

In the test (58 hosts, 30 replacements) 334 moves before, 2 after, depth 3 as before.

--- a/src/chervilturn/membership/relay_tree.cpp
+++ b/src/chervilturn/membership/relay_tree.cpp
@@ -61,10 +61,46 @@
     }
 }
 
+[[nodiscard]] std::size_t rank_of(const ranking& hosts, const address& peers) {
+    return static_cast<std::size_t>(
+        std::find_if(hosts.begin(), hosts.end(),
+                     [&peers](const ranked_host& ranked) { return ranked.peers == peers; }) -
+        hosts.begin());
+}
+
+// Number of parents on the way to a reader.
+[[nodiscard]] std::size_t depth_of(std::size_t rank, std::size_t readers) {
+    std::size_t depth = 0;
+    while (rank >= readers) {
+        rank = (rank - readers) / relay_fan_out;
+        ++depth;
+    }
+    return depth;
+}
+
+void put_first(std::vector<address>& parents, const address& parent) {
+    std::erase(parents, parent);
+    parents.insert(parents.begin(), parent);
+}
+
+// A reader keeps a parent that it would choose again, another host one that is less deep than itself.
+void keep_parent(relay_position& position, const ranking& hosts, std::size_t rank, std::size_t readers,
+                 const address& present) {
+    const auto parent_rank = rank_of(hosts, present);
+    const bool stays = position.reader ? std::find(position.parents.begin(), position.parents.end(),
+                                                   present) != position.parents.end()
+                                       : parent_rank < hosts.size() && !hosts[parent_rank].leaving &&
+                                             depth_of(parent_rank, readers) < depth_of(rank, readers);
+    if (stays) {
+        put_first(position.parents, present);
+    }
+}
+
 } // namespace
 
 relay_position compute_relay_position(const model& settings, const address& self,
-                                      const std::string& data_centre, std::size_t readers) {
+                                      const std::string& data_centre, std::size_t readers,
+                                      const std::optional<address>& present_parent) {
     relay_position position;
     const auto ranks = rank_hosts(settings);
     const auto own_centre = ranks.find(data_centre);
@@ -73,19 +109,16 @@
         return position;
     }
     const auto& hosts = own_centre->second;
-    const auto self_ranked = std::find_if(
-        hosts.begin(), hosts.end(), [&self](const ranked_host& ranked) { return ranked.peers == self; });
-    if (self_ranked == hosts.end()) {
-        position.reader = true;
-        return position;
-    }
-    const auto rank = static_cast<std::size_t>(self_ranked - hosts.begin());
+    const auto rank = rank_of(hosts, self);
     position.reader = rank < readers;
     if (position.reader) {
         add_other_data_centres(position, ranks, own_centre);
     }
     add_ancestors(position, hosts, rank, readers);
     add_readers(position, hosts, rank, readers);
+    if (present_parent) {
+        keep_parent(position, hosts, rank, readers, *present_parent);
+    }
     return position;
 }
 
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -209,7 +209,7 @@
     const auto& settings = this->context->settings;
     auto new_position =
         compute_relay_position(*this->tree.current(), settings.reachable_at, settings.data_centre,
-                               settings.reading.readers_per_data_centre);
+                               settings.reading.readers_per_data_centre, this->followed_parent);
     const bool same_parents = new_position.parents == this->position.parents;
     this->position = std::move(new_position);
     if (this->position.reader) {
@@ -217,8 +217,14 @@
     } else if (this->parent_responded) {
         this->reader.deactivate();
     }
-    if (this->position.parents.empty() ||
-        (same_parents && (this->followed_parent || this->parent_index > 0))) {
+    const bool keeps_parent = this->followed_parent && !this->position.parents.empty() &&
+                              *this->followed_parent == this->position.parents.front();
+    if (this->position.parents.empty() || keeps_parent) {
+        return;
+    }
+    const bool tries_parents = !this->followed_parent && same_parents && this->parent_index > 0;
+    // During a transfer nothing moves: the position is computed again when the update is accepted.
+    if (tries_parents || (this->followed_parent && this->is_receiving())) {
         return;
     }
     this->parent_index = 0;
