Send followers what this node accepts, in that order, not what has a higher revision

Callers could see: calls to a backend server that was gone, or an older configuration, at nodes that follow others.

Cause: a parent sent the leaves whose revision was higher than the follower's. A leaf that came late with a lower or equal revision was never sent: what a reader gets after a hole, and each removal that the adapter held back for the grace period after a failure of the store, when the store's revision did not move meanwhile.

Change: accepted leaves carry the number of the change they came with, and a follower gets those after the last one sent. The revisions decide only what a new subscription gets.

--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -104,8 +104,9 @@
         subtree_snapshot update{
             .subtree = name, .revision = state.revision, .complete = complete, .leaves = {}};
         for (const auto& [path, accepted] : state.accepted) {
-            if (complete || accepted.revision > receiver.revision || accepted.version > receiver.version) {
-                update.leaves.push_back(accepted);
+            const auto& item = accepted.state;
+            if (complete || item.revision > receiver.revision || item.version > receiver.version) {
+                update.leaves.push_back(item);
             }
         }
         updates.push_back(std::move(update));
@@ -113,6 +114,21 @@
     return updates;
 }
 
+std::vector<subtree_snapshot> settings_tree::accepted_since(std::uint64_t change) const {
+    std::vector<subtree_snapshot> updates;
+    for (const auto& [name, state] : this->states) {
+        if (state.latest_change <= change) {
+            continue;
+        }
+        subtree_snapshot update{.subtree = name, .revision = state.revision, .leaves = {}};
+        for (auto item = state.by_change.upper_bound(change); item != state.by_change.end(); ++item) {
+            update.leaves.push_back(item->second->state);
+        }
+        updates.push_back(std::move(update));
+    }
+    return updates;
+}
+
 // Merges a snapshot into the accepted leaves instead of the candidate. This accepts a peer's valid leaves
 // even while this node has a newer candidate that was rejected.
 bool settings_tree::accept_despite_rejected_candidate(subtree_state& state,
@@ -128,7 +144,7 @@
     accept(state, std::move(changes), revision);
     std::erase_if(state.not_accepted, [&state](const auto& item) {
         const auto accepted = state.accepted.find(item.first);
-        return accepted != state.accepted.end() && !is_newer(item.second, accepted->second);
+        return accepted != state.accepted.end() && !is_newer(item.second, accepted->second.state);
     });
     return true;
 }
@@ -136,9 +152,13 @@
 void settings_tree::accept(subtree_state& state, leaf_changes&& changes, revision_number revision) {
     for (auto& [path, changed] : changes) {
         state.version = std::max(state.version, changed.version);
-        state.accepted.insert_or_assign(path, std::move(changed));
+        auto& accepted = state.accepted[path];
+        state.by_change.erase(accepted.change);
+        accepted = {.state = std::move(changed), .change = ++this->last_change};
+        state.by_change.emplace(accepted.change, &accepted);
     }
     state.revision = revision;
+    state.latest_change = ++this->last_change;
 }
 
 bool settings_tree::is_known_absent(const subtree_state& state, const leaf& incoming) noexcept {
@@ -152,7 +172,7 @@
         return &changed->second;
     }
     const auto accepted = state.accepted.find(path);
-    return accepted == state.accepted.end() ? nullptr : &accepted->second;
+    return accepted == state.accepted.end() ? nullptr : &accepted->second.state;
 }
 
 bool settings_tree::merge(const subtree_state& state, leaf_changes& changes,
@@ -194,9 +214,9 @@
                                 .version = held.version == 0 ? 0 : version});
         }
     };
-    for (const auto& [path, held] : state.accepted) {
+    for (const auto& [path, accepted] : state.accepted) {
         if (!changes.contains(path)) {
-            check(held);
+            check(accepted.state);
         }
     }
     for (const auto& [path, held] : changes) {
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -58,6 +58,13 @@
 /// a rejected subtree does not affect the others.
 class settings_tree {
   public:
+    settings_tree() = default;
+    settings_tree(const settings_tree&) = delete; // states refer to their own leaves
+    settings_tree& operator=(const settings_tree&) = delete;
+    settings_tree(settings_tree&&) = default;
+    settings_tree& operator=(settings_tree&&) = default;
+    ~settings_tree() = default;
+
     /// @brief Merges the snapshot's newer leaves into the subtree's candidate and accepts the candidate if it
     /// is valid as a whole. Otherwise accepts the snapshot if it is newer than the accepted leaves and valid
     /// together with them.
@@ -70,6 +77,13 @@
     /// snapshot is complete when the digest's revision is too old for a list of changes.
     [[nodiscard]] std::vector<subtree_snapshot> newer_than(const std::vector<subtree_revision>& known) const;
 
+    /// @brief Number of the latest change that this node accepted.
+    [[nodiscard]] std::uint64_t latest_change() const noexcept { return this->last_change; }
+
+    /// @brief Returns the leaves accepted after a change, as one snapshot per changed subtree, whatever their
+    /// revisions: also those that came later than others with a higher revision.
+    [[nodiscard]] std::vector<subtree_snapshot> accepted_since(std::uint64_t change) const;
+
     /// @brief The compiled model of all accepted subtrees; never null.
     [[nodiscard]] const std::shared_ptr<const model>& current() const noexcept { return this->compiled; }
 
@@ -79,16 +93,22 @@
     }
 
   private:
+    struct accepted_leaf {
+        leaf state;
+        std::uint64_t change = 0; // that it was accepted with; of one leaf only
+    };
     struct subtree_state {
-        revision_number revision = 0;           // accepted; never decreases
-        publication_version version = 0;        // highest of the accepted leaves; never decreases
-        std::map<std::string, leaf> accepted;   // valid as a whole
+        revision_number revision = 0;                  // accepted; never decreases
+        publication_version version = 0;               // highest of the accepted leaves; never decreases
+        std::map<std::string, accepted_leaf> accepted; // valid as a whole
+        std::map<std::uint64_t, const accepted_leaf*> by_change; // the accepted leaves
+        std::uint64_t latest_change = 0;                         // of a leaf or of the revision
         leaf_changes not_accepted;              // newer leaves; with the accepted ones they are the candidate
         revision_number candidate_revision = 0; // at least revision
         revision_number tombstones_since = 0;   // earlier deletions may have no removed leaf
     };
 
-    static void accept(subtree_state& state, leaf_changes&& changes, revision_number revision);
+    void accept(subtree_state& state, leaf_changes&& changes, revision_number revision);
     // The leaf of a path after changes of the accepted leaves; null when there is none.
     [[nodiscard]] static const leaf* find_leaf(const subtree_state& state, const leaf_changes& changes,
                                                const std::string& path);
@@ -108,6 +128,7 @@
     compile(const std::string& subtree, const leaf_changes& changes, revision_number revision);
 
     std::map<std::string, subtree_state> states;
+    std::uint64_t last_change = 0;
     std::map<std::string, team_compiler> teams; // by name
     host_compiler hosts;
     std::map<std::string, subtree_rejection> rejected;
--- a/src/chervilturn/node/settings_followers.cpp
+++ b/src/chervilturn/node/settings_followers.cpp
@@ -38,8 +38,9 @@
         target.waiting_nonce = request.nonce;
         return;
     }
-    target.revisions = request.revisions;
-    auto prepared = this->prepare(target.revisions, request.nonce);
+    prepared_update prepared{
+        .update = {.subtrees = this->tree->newer_than(request.revisions), .nonce = request.nonce},
+        .packed = nullptr};
     this->send(message.subscriber, target, prepared);
     if (!target.follows && !target.transfer) {
         this->followers.erase(message.subscriber);
@@ -63,7 +64,7 @@
     log_event(log_level::info, "settings_delivered",
               {{"peer", to_string(target.peer)}, {"bytes", target.transfer->size()}});
     target.transfer.reset();
-    auto prepared = this->prepare(target.revisions, target.waiting_nonce.value_or(0));
+    auto prepared = this->prepare(target.sent_until, target.waiting_nonce.value_or(0));
     if (std::exchange(target.waiting_nonce, std::nullopt) ||
         (target.follows && !prepared.update.subtrees.empty())) {
         this->send(connection, target, prepared);
@@ -79,8 +80,8 @@
         if (!target.follows || target.transfer) {
             continue;
         }
-        if (!prepared || prepared->from != target.revisions) {
-            prepared = this->prepare(target.revisions, 0);
+        if (!prepared || prepared->from != target.sent_until) {
+            prepared = this->prepare(target.sent_until, 0);
         }
         if (!prepared->update.subtrees.empty()) {
             this->send(connection, target, *prepared);
@@ -88,15 +89,15 @@
     }
 }
 
-settings_followers::prepared_update settings_followers::prepare(const std::vector<subtree_revision>& from,
+settings_followers::prepared_update settings_followers::prepare(std::uint64_t from,
                                                                 std::uint64_t nonce) const {
     return {.from = from,
-            .update = {.subtrees = this->tree->newer_than(from), .nonce = nonce},
+            .update = {.subtrees = this->tree->accepted_since(from), .nonce = nonce},
             .packed = nullptr};
 }
 
 void settings_followers::send(std::uint64_t connection, follower& target, prepared_update& prepared) {
-    target.revisions = this->tree->digest();
+    target.sent_until = this->tree->latest_change();
     if (!target.accepts_parts || content_bytes(prepared.update) <= max_whole_update_bytes) {
         this->context->mailboxes->peer_server.post(send_update{connection, prepared.update});
         return;
--- a/src/chervilturn/node/settings_followers.hpp
+++ b/src/chervilturn/node/settings_followers.hpp
@@ -34,22 +34,21 @@
   private:
     struct follower {
         address peer;
-        std::vector<subtree_revision> revisions; // that it has once everything sent has arrived
-        bool follows = false;                    // otherwise it is listed until its transfer ends
+        std::uint64_t sent_until = 0; // change of the tree; it has the earlier ones once all has arrived
+        bool follows = false;         // otherwise it is listed until its transfer ends
         bool accepts_parts = false;
         std::optional<outgoing_update> transfer;    // in progress
         std::optional<std::uint64_t> waiting_nonce; // of a request that came during the transfer
     };
 
-    /// @brief An update, prepared once for all followers with the same revisions.
+    /// @brief An update, prepared once for all followers that have the same changes.
     struct prepared_update {
-        std::vector<subtree_revision> from; // revisions of the followers that it is for
+        std::uint64_t from = 0; // change of the tree that the followers have
         settings_update update;
         packed_update packed; // null until a follower gets it in parts
     };
 
-    [[nodiscard]] prepared_update prepare(const std::vector<subtree_revision>& from,
-                                          std::uint64_t nonce) const;
+    [[nodiscard]] prepared_update prepare(std::uint64_t from, std::uint64_t nonce) const;
     void send(std::uint64_t connection, follower& target, prepared_update& prepared);
     // Sends parts of all transfers in turn, as far as the bytes on their way allow.
     void send_parts();
--- a/test/chervilturn/node/settings_followers_test.cpp
+++ b/test/chervilturn/node/settings_followers_test.cpp
@@ -66,6 +66,10 @@
     node.accept("b", 2);
     CHECK(node.leaves_sent == 1);
 
+    SECTION("a change that comes after one with a higher revision is sent too") {
+        node.accept("late", 2);
+        CHECK(node.leaves_sent == 2);
+    }
     SECTION("a request that does not follow leaves the subscription as it is") {
         node.receive({.revisions = {}, .follow = false});
         node.accept("c", 3);
