Keep the evidence of a crash until a probe shows that the same process lives

Cause: an answer to a call that was sent after a lost connection counted as proof that the server had not ended. A server that is back under its name before the probe's turn answers too; the crash then had no suspects, and the request went on to further servers. Where probes name the process, only a probe of the same process counts now. Class: a sign of life that does not say whose.

--- a/src/chervilturn/node/crash_watch.cpp
+++ b/src/chervilturn/node/crash_watch.cpp
@@ -21,8 +21,15 @@
     }
 }
 
+void crash_watch::on_probed(instant sent_at) {
+    this->probes_name_process = true;
+    this->crashes.on_answered(sent_at);
+}
+
 void crash_watch::on_completed(const call& received, microseconds service_time) {
-    this->crashes.on_answered(now_monotonic() - service_time);
+    if (!this->probes_name_process) {
+        this->crashes.on_answered(now_monotonic() - service_time);
+    }
     const auto& suspected = this->suspects->suspected;
     if (suspected.empty()) {
         return;
--- a/src/chervilturn/node/crash_watch.hpp
+++ b/src/chervilturn/node/crash_watch.hpp
@@ -27,6 +27,11 @@
     /// @brief The backend server of this name accepts no connections, or has restarted or another name.
     void on_server_ended(const std::string& name);
 
+    /// @brief A probe that was sent at this time reached the process of the backend server that is known
+    /// already. From then on only probes show that a server has not ended: an answer may come from a process
+    /// that was started since.
+    void on_probed(instant sent_at);
+
     /// @brief The backend server answered a call.
     void on_completed(const call& received, microseconds service_time);
 
@@ -34,6 +39,7 @@
     const node_context* context;
     const owner_state* state;
     crash_detector crashes;
+    bool probes_name_process = false;
     std::shared_ptr<const crash_suspects> suspects = std::make_shared<const crash_suspects>();
 };
 
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -395,6 +395,9 @@
         this->statements.reset();
         this->admission.stated_limit().set_rate(std::nullopt, now);
     }
+    if (!report.boot_id.empty()) {
+        this->crashes.on_probed(sent_at); // the probe has reported another process before
+    }
     this->probe_says_draining = report.draining;
     this->on_statement(report.statement, sent_at, "probe");
     this->update_draining();
