Leave out an odd entry among those of the backend servers, and bound the depth of JSON

What operators of systems like ours saw: machines that ended again and again, or followed the list no more. Both happened here:

- An entry with more than 10,000 slots, with an empty service or an empty zone passed the adapter and was refused by the settings' reader, and with it the whole subtree: no later change of any server in the same update was followed.
- A leaf whose value is nested 100,000 deep ended the process (stack): the text of the error copies the value.
From the users' store such an entry ended nothing, but settings files, a platform's leaves and peers went that way.

Class: a check that is laxer than the one behind it.

Tests: 24 odd entries, each beside a sound one that must be followed (failed for slots 10001, empty service and zone, long names, unknown fields nested deeply); a deeply nested leaf (ended the test program before). Ports out of range, numbers that no double holds and bytes that are no UTF-8 were left out before as well.

--- a/src/chervilturn/config/host_compiler.cpp
+++ b/src/chervilturn/config/host_compiler.cpp
@@ -1,6 +1,8 @@
 // Reading and validation of the host list's leaves.
 #include "chervilturn/config/host_compiler.hpp"
 
+#include "chervilturn/core/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace chervilturn {
@@ -16,7 +18,7 @@
 }
 
 [[nodiscard]] result<std::vector<host>, settings_error> read_hosts(const leaf& source) {
-    const auto json = nlohmann::json::parse(source.value, nullptr, false, true);
+    const auto json = parse_json(source.value, json_comments::allowed);
     if (json.is_discarded()) {
         return settings_error{source.path, "(root)", "the text", "valid JSON"};
     }
--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -1,6 +1,8 @@
 // Reading and validation of a node's settings file.
 #include "chervilturn/config/node_settings.hpp"
 
+#include "chervilturn/core/json.hpp"
+
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -110,7 +112,7 @@
 
 result<node_settings, settings_error> parse_node_settings(const std::string& text,
                                                           const std::string& source) {
-    const auto root = nlohmann::json::parse(text, nullptr, false, true);
+    const auto root = parse_json(text, json_comments::allowed);
     if (root.is_discarded()) {
         return settings_error{source, "(root)", "the text", "valid JSON"};
     }
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -1,6 +1,8 @@
 // Reading and validation of a team's leaves.
 #include "chervilturn/config/team_compiler.hpp"
 
+#include "chervilturn/core/json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -200,7 +202,7 @@
 result<team_compiler::leaf_content, settings_error> team_compiler::read(const std::string& team_name,
                                                                         const leaf& source) {
     const auto path = split_team_path(team_name, source.path);
-    const auto json = nlohmann::json::parse(source.value, nullptr, false, true);
+    const auto json = parse_json(source.value, json_comments::allowed);
     if (json.is_discarded()) {
         return settings_error{source.path, "(root)", "the text", "valid JSON"};
     }
--- a/src/chervilturn/core/state_chart.cpp
+++ b/src/chervilturn/core/state_chart.cpp
@@ -1,6 +1,8 @@
 // Parsing of chart files.
 #include "chervilturn/core/state_chart.hpp"
 
+#include "chervilturn/core/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace chervilturn::internal {
@@ -18,7 +20,7 @@
 } // namespace
 
 result<named_chart, chart_error> read_chart(std::string_view text) {
-    const auto parsed = nlohmann::json::parse(text, nullptr, false, true);
+    const auto parsed = parse_json(text, json_comments::allowed);
     const auto initial = string_member(parsed, "initial");
     if (!initial || !parsed.contains("transitions") || !parsed["transitions"].is_array()) {
         return chart_error{"a chart needs \"initial\" and a list \"transitions\""};
--- a/src/chervilturn/node/native_protocol.cpp
+++ b/src/chervilturn/node/native_protocol.cpp
@@ -1,6 +1,7 @@
 // Responses to callers, requests to backend servers and probes of the native protocols.
 #include "chervilturn/node/native_protocol.hpp"
 
+#include "chervilturn/core/json.hpp"
 #include "chervilturn/node/request_reader.hpp"
 
 #include <nlohmann/json.hpp>
@@ -117,7 +118,7 @@
 }
 
 std::optional<probe_report> native_backend_protocol::read_probe(const http_response& response) const {
-    const auto document = nlohmann::json::parse(response.body, nullptr, false);
+    const auto document = parse_json(response.body);
     if (!document.is_object()) {
         return std::nullopt;
     }
--- a/src/chervilturn/node/platform.cpp
+++ b/src/chervilturn/node/platform.cpp
@@ -1,6 +1,8 @@
 // Requests to the platform over HTTP and checks of its responses.
 #include "chervilturn/node/platform.hpp"
 
+#include "chervilturn/core/json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace chervilturn {
@@ -21,7 +23,7 @@
 }
 
 [[nodiscard]] result<watch_result, platform_error> parse_watch(const std::string& body) {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = parse_json(body);
     if (!has_revision(json) || !json.contains("changed") || !json["changed"].is_array()) {
         return platform_error{"watch response has no revision or no list \"changed\""};
     }
@@ -36,7 +38,7 @@
 }
 
 [[nodiscard]] result<leaf, platform_error> parse_leaf(const std::string& body, const std::string& path) {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = parse_json(body);
     if (!has_path(json) || json["path"].get<std::string>() != path) {
         return platform_error{"response for leaf \"" + path + "\" has another path or no revision"};
     }
--- a/test/chervilturn/config/tree_test.cpp
+++ b/test/chervilturn/config/tree_test.cpp
@@ -166,6 +166,22 @@
     CHECK(error_for("teams/t/workspaces/w", "{} // with a comment") == "accepted");
 }
 
+TEST_CASE("a deeply nested leaf is refused like any other invalid one") {
+    const auto value = std::string(100'000, '[') + std::string(100'000, ']');
+    settings_tree tree;
+    CHECK(
+        tree.offer({.subtree = "t", .revision = 1, .leaves = {make_leaf("teams/t/services/s", 1, value)}}) ==
+        offer_outcome::rejected);
+    CHECK(tree.offer({.subtree = "t",
+                      .revision = 2,
+                      .leaves = {make_leaf("teams/t/services/s", 2, R"({"max_queue": )" + value + "}")}}) ==
+          offer_outcome::rejected);
+    CHECK(tree.offer({.subtree = "hosts", .revision = 1, .leaves = {make_leaf("hosts/h", 1, value)}}) ==
+          offer_outcome::rejected);
+    CHECK(tree.offer({.subtree = "t", .revision = 3, .leaves = {make_leaf("teams/t/services/s", 3, "{}")}}) ==
+          offer_outcome::accepted);
+}
+
 TEST_CASE("the host list is validated") {
     settings_tree tree;
     const auto host_snapshot = [](revision_number revision, const std::string& state) {
--- a/test/platform/settings_reader_test.cpp
+++ b/test/platform/settings_reader_test.cpp
@@ -236,4 +236,61 @@
     CHECK(reading_node::present(node.tree) == node.stored());
 }
 
+TEST_CASE("an odd entry among those of the backend servers is left out, and the others are followed",
+          "[odd_entries]") {
+    const std::string nested(100'000, '[');
+    const std::string closing(100'000, ']');
+    const std::string long_text(300, 'z');
+    const auto entry = [](const std::string& service, const std::string& zone, const std::string& slots,
+                          const std::string& other) {
+        return R"({"address":"127.0.1.9:8328","info":{"service":")" + service + R"(","zone":")" + zone +
+               R"(","slots":)" + slots + R"(},"status":{"state":"ready"}, "other":)" + other + "}";
+    };
+    const std::vector<std::string> odd_entries{
+        entry("s", "dakar-a", "10001", "0"),
+        entry("s", "dakar-a", "1e400", "0"),
+        entry("s", "dakar-a", "99999999999999999999999", "0"),
+        entry("s", "dakar-a", "18446744073709551615", "0"),
+        entry("s", "dakar-a", "-6", "0"),
+        entry("s", "dakar-a", nested + closing, "0"),
+        entry("s", "dakar-a", "6", nested + closing),
+        entry("s", "dakar-a", "6", nested),
+        entry("s", "dakar-a", "6", "1e999"),
+        entry("", "dakar-a", "6", "0"),
+        entry("s", "", "6", "0"),
+        entry(long_text, "dakar-a", "6", "0"),
+        entry("s", long_text, "6", "0"),
+        entry("s\xff", "dakar-a", "6", "0"),
+        nested + closing,
+        nested,
+        "",
+        "null",
+        R"({"address":"127.0.1.9:65536","info":{"service":"s","zone":"a","slots":6},"status":{"state":"ready"}})",
+        R"({"address":"127.0.1.9:0","info":{"service":"s","zone":"a","slots":6},"status":{"state":"ready"}})",
+        R"({"address":"127.0.1.9:-1","info":{"service":"s","zone":"a","slots":6},"status":{"state":"ready"}})",
+        R"({"address":{"port":70000},"info":{"service":"s","zone":"a","slots":6},"status":{"state":"ready"}})",
+        R"({"address":"127.0.1.9:8328","info":[],"status":{"state":"ready"}})",
+        R"({"address":"127.0.1.9:8328","info":{"service":["s"],"zone":"a","slots":6},"status":{"state":7}})"};
+    reading_node node;
+    node.store.put("op/config", config_text(4, 1));
+    node.store.put("servers/i-1", server_text(1, "ready"));
+    node.reader->activate(0ms);
+    node.run_until([&] { return node.reader->revision() > 0; });
+    const auto server = [&node](const std::string& id) {
+        return reading_node::present(node.tree).contains("teams/platform/backend_servers/" + id);
+    };
+    for (std::size_t index = 0; index < odd_entries.size(); ++index) {
+        CAPTURE(index, odd_entries[index].substr(0, 120));
+        node.store.put("servers/i-odd", odd_entries[index]);
+        const auto next = "i-next-" + std::to_string(index);
+        const auto revision = node.store.put("servers/" + next, server_text(10 + index, "ready"));
+        node.run_until([&] { return node.reader->revision() >= revision; });
+        CHECK(server("i-1"));
+        CHECK(server(next));
+        CHECK(node.tree.current()->teams.at(team_name).services.at("s").backend_servers.size() == index + 2);
+        CHECK_FALSE(server("i-odd"));
+        CHECK(node.tree.rejections().empty());
+    }
+}
+
 } // namespace chervilturn::adapter
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -93,8 +93,17 @@
     CHECK(value_of(translated)[0].path == "teams/platform/backend_servers/i-1");
     CHECK(value_of(translated)[0].value.find("10.1.0.9:7620") != std::string::npos);
     const std::vector<std::pair<std::string, std::string>> replacements{
-        {"\"ready\"", "\"resting\""}, {"\"slots\":6", "\"slots\":\"6\""}, {"\"slots\":6", "\"slots\":0"},
-        {"10.1.0.9:8080", "nowhere"}, {"\"service\":\"s1\",", ""},        {"\"zone\":\"dakar-a\",", ""},
+        {"\"ready\"", "\"resting\""},
+        {"\"slots\":6", "\"slots\":\"6\""},
+        {"\"slots\":6", "\"slots\":0"},
+        {"\"slots\":6", "\"slots\":10001"},
+        {"\"slots\":6", "\"slots\":1e400"},
+        {"10.1.0.9:8080", "10.1.0.9:65536"},
+        {"\"zone\":\"dakar-a\"", "\"zone\":\"\""},
+        {"\"service\":\"s1\"", "\"service\":\"\""},
+        {"10.1.0.9:8080", "nowhere"},
+        {"\"service\":\"s1\",", ""},
+        {"\"zone\":\"dakar-a\",", ""},
         {"\"info\"", "\"other\""}};
     for (const auto& [part, replacement] : replacements) {
         CAPTURE(replacement);
--- a/tools/operators_main.cpp
+++ b/tools/operators_main.cpp
@@ -1,6 +1,7 @@
 // Command-line tool for operators: checks a settings tree, shows a node's status, explains how a call would
 // be routed, and traces a request through the logs of several nodes.
 #include "chervilturn/config/tree.hpp"
+#include "chervilturn/core/json.hpp"
 #include "chervilturn/observe/trace.hpp"
 #include "chervilturn/transport/http.hpp"
 
@@ -52,7 +53,8 @@
 
 int check_tree(const std::string& file) {
     std::ifstream stream{file};
-    const auto document = nlohmann::json::parse(stream, nullptr, false, true);
+    const std::string text{std::istreambuf_iterator<char>{stream}, {}};
+    const auto document = parse_json(text, json_comments::allowed);
     if (!stream || !document.is_object()) {
         std::cerr << file << ": cannot be read as a JSON object of leaves\n";
         return exit_invalid;
