Compare the content of settings between nodes, not only revisions

A hole, whatever makes it, was never found: nodes compared the highest revision and version of a subtree, which a node with a hole shares with the others. Older nodes send no hash and are answered as before.

Weighed: a tree of hashes (saves bytes in a case that should not occur); revisions for each stream (finds holes of one kind only). The test failed before: the node with the hole got nothing.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -101,6 +101,7 @@
   subtree @0 :Text;
   revision @1 :UInt64;
   version @2 :UInt64;  # highest of the accepted leaves
+  content @3 :UInt64;  # hash of the accepted leaves that exist; 0 from older nodes
 }
 
 # Requests all leaves newer than the listed revisions: once, or also on every later change if follow is set.
--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -1,6 +1,8 @@
 // Validation of subtrees and acceptance by revision.
 #include "chervilturn/config/tree.hpp"
 
+#include "chervilturn/core/hash.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -31,6 +33,11 @@
     return known.revision < other.revision || known.version < other.version;
 }
 
+bool differs_in_content(const subtree_revision& known, const subtree_revision& other) noexcept {
+    return known.revision == other.revision && known.version == other.version && known.content != 0 &&
+           other.content != 0 && known.content != other.content;
+}
+
 subtree_revision entry_of(const std::vector<subtree_revision>& digest, std::string_view subtree) {
     const auto listed = std::find_if(digest.begin(), digest.end(), [subtree](const subtree_revision& entry) {
         return entry.subtree == subtree;
@@ -85,7 +92,7 @@
     std::vector<subtree_revision> revisions;
     for (const auto& [name, state] : this->states) {
         if (state.revision > 0) {
-            revisions.push_back({name, state.revision, state.version});
+            revisions.push_back({name, state.revision, state.version, state.content});
         }
     }
     return revisions;
@@ -95,7 +102,9 @@
     std::vector<subtree_snapshot> updates;
     for (const auto& [name, state] : this->states) {
         const auto receiver = entry_of(known, name);
-        if (!may_lack(receiver, {.subtree = name, .revision = state.revision, .version = state.version})) {
+        const subtree_revision present{name, state.revision, state.version, state.content};
+        const bool all = differs_in_content(receiver, present);
+        if (!all && !may_lack(receiver, present)) {
             continue;
         }
         // A receiver with an older revision may have leaves whose deletion is not recorded here: it gets all
@@ -105,7 +114,7 @@
             .subtree = name, .revision = state.revision, .complete = complete, .leaves = {}};
         for (const auto& [path, accepted] : state.accepted) {
             const auto& item = accepted.state;
-            if (complete || item.revision > receiver.revision || item.version > receiver.version) {
+            if (all || complete || item.revision > receiver.revision || item.version > receiver.version) {
                 update.leaves.push_back(item);
             }
         }
@@ -154,7 +163,10 @@
         state.version = std::max(state.version, changed.version);
         auto& accepted = state.accepted[path];
         state.by_change.erase(accepted.change);
-        accepted = {.state = std::move(changed), .change = ++this->last_change};
+        state.content ^= accepted.hash;
+        const auto hash = changed.removed ? 0 : hash_of(path, changed.value);
+        state.content ^= hash;
+        accepted = {.state = std::move(changed), .change = ++this->last_change, .hash = hash};
         state.by_change.emplace(accepted.change, &accepted);
     }
     state.revision = revision;
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -27,6 +27,8 @@
     std::string subtree;
     revision_number revision = 0;
     publication_version version = 0; // highest of the accepted leaves
+    // Hash of the paths and values of the accepted leaves that exist; 0 from nodes of older versions.
+    std::uint64_t content = 0;
 
     [[nodiscard]] bool operator==(const subtree_revision&) const = default;
 };
@@ -34,6 +36,9 @@
 /// @brief Whether a node with a revision of a subtree lacks something that a node with another one may have.
 [[nodiscard]] bool may_lack(const subtree_revision& known, const subtree_revision& other) noexcept;
 
+/// @brief Whether two nodes with the same revision and version of a subtree have different leaves.
+[[nodiscard]] bool differs_in_content(const subtree_revision& known, const subtree_revision& other) noexcept;
+
 /// @brief Last rejection of a subtree: the candidate's revision and the validation error.
 struct subtree_rejection {
     revision_number revision = 0;
@@ -74,7 +79,8 @@
     [[nodiscard]] std::vector<subtree_revision> digest() const;
 
     /// @brief Returns the accepted leaves that are newer than a digest, as one snapshot per newer subtree. A
-    /// snapshot is complete when the digest's revision is too old for a list of changes.
+    /// snapshot is complete when the digest's revision is too old for a list of changes. A receiver with the
+    /// same revision and other content gets all leaves.
     [[nodiscard]] std::vector<subtree_snapshot> newer_than(const std::vector<subtree_revision>& known) const;
 
     /// @brief Number of the latest change that this node accepted.
@@ -96,6 +102,7 @@
     struct accepted_leaf {
         leaf state;
         std::uint64_t change = 0; // that it was accepted with; of one leaf only
+        std::uint64_t hash = 0;   // of path and value; 0 when it is removed
     };
     struct subtree_state {
         revision_number revision = 0;                  // accepted; never decreases
@@ -103,6 +110,7 @@
         std::map<std::string, accepted_leaf> accepted; // valid as a whole
         std::map<std::uint64_t, const accepted_leaf*> by_change; // the accepted leaves
         std::uint64_t latest_change = 0;                         // of a leaf or of the revision
+        std::uint64_t content = 0;                               // the accepted leaves' hashes, combined
         leaf_changes not_accepted;              // newer leaves; with the accepted ones they are the candidate
         revision_number candidate_revision = 0; // at least revision
         revision_number tombstones_since = 0;   // earlier deletions may have no removed leaf
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -116,7 +116,8 @@
 void control_task::handle(const describe_request& request) {
     auto subtrees = nlohmann::json::object();
     for (const auto& entry : this->tree.digest()) {
-        subtrees[entry.subtree] = {{"revision", entry.revision}, {"version", entry.version}};
+        subtrees[entry.subtree] = {
+            {"revision", entry.revision}, {"version", entry.version}, {"content", entry.content}};
     }
     for (const auto& [name, rejection] : this->tree.rejections()) {
         subtrees[name]["rejected_revision"] = rejection.revision;
--- a/src/chervilturn/node/settings_followers.cpp
+++ b/src/chervilturn/node/settings_followers.cpp
@@ -19,6 +19,18 @@
 constexpr microseconds stalled_after = std::chrono::milliseconds{500};
 constexpr microseconds stall_check_period = std::chrono::milliseconds{100};
 
+// A peer with the same revision should have the same leaves; it gets all of this node's.
+void log_different_content(const peer_subscribed& message, const std::vector<subtree_revision>& present) {
+    for (const auto& entry : present) {
+        if (differs_in_content(entry_of(message.request.revisions, entry.subtree), entry)) {
+            log_event(log_level::warn, "settings_content_differs",
+                      {{"peer", to_string(message.peer_address)},
+                       {"subtree", entry.subtree},
+                       {"revision", entry.revision}});
+        }
+    }
+}
+
 } // namespace
 
 settings_followers::settings_followers(const node_context& shared, const settings_tree& followed_tree)
@@ -38,6 +50,7 @@
         target.waiting_nonce = request.nonce;
         return;
     }
+    log_different_content(message, this->tree->digest());
     prepared_update prepared{
         .update = {.subtrees = this->tree->newer_than(request.revisions), .nonce = request.nonce},
         .packed = nullptr};
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -88,6 +88,7 @@
         item.setSubtree(to_text(revisions[index].subtree));
         item.setRevision(revisions[index].revision);
         item.setVersion(revisions[index].version);
+        item.setContent(revisions[index].content);
     }
 }
 
@@ -98,7 +99,8 @@
                           .accepts_parts = source.getAcceptsParts(),
                           .ends = source.getEnds()};
     for (const auto item : source.getSubtrees()) {
-        received.revisions.push_back({from_text(item.getSubtree()), item.getRevision(), item.getVersion()});
+        received.revisions.push_back(
+            {from_text(item.getSubtree()), item.getRevision(), item.getVersion(), item.getContent()});
     }
     return received;
 }
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -171,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da16f0e0309f9b2f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(da16f0e0309f9b2f, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1401,6 +1401,8 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline  ::uint64_t getContent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1442,6 +1444,9 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4450,6 +4455,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SubtreeRevision::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubtreeRevision::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SubtreeRevision::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::hasSubtrees() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/chervilturn/config/tree_test.cpp
+++ b/test/chervilturn/config/tree_test.cpp
@@ -166,6 +166,45 @@
     CHECK(error_for("teams/t/workspaces/w", "{} // with a comment") == "accepted");
 }
 
+TEST_CASE("nodes with equal revisions and different leaves compare their content") {
+    const auto change = [](revision_number revision) {
+        const auto path = "teams/t/services/s" + std::to_string(revision);
+        return subtree_snapshot{
+            .subtree = "t", .revision = revision, .leaves = {make_leaf(path, revision, "{}")}};
+    };
+    settings_tree whole;
+    settings_tree with_hole;
+    for (const revision_number revision : {1, 2, 3}) {
+        REQUIRE(whole.offer(change(revision)) == offer_outcome::accepted);
+        if (revision != 2) {
+            REQUIRE(with_hole.offer(change(revision)) == offer_outcome::accepted);
+        }
+    }
+    REQUIRE(revision_of(whole.digest(), "t") == revision_of(with_hole.digest(), "t"));
+    for (const auto& update : whole.newer_than(with_hole.digest())) {
+        CHECK(with_hole.offer(update) == offer_outcome::accepted);
+    }
+    CHECK(with_hole.current()->teams.at("t").services.contains("s2"));
+    CHECK(with_hole.digest() == whole.digest());
+    CHECK(whole.newer_than(with_hole.digest()).empty());
+
+    SECTION("also after removals") {
+        const leaf removal{.path = "teams/t/services/s1", .revision = 4, .removed = true, .value = {}};
+        REQUIRE(whole.offer({.subtree = "t", .revision = 4, .leaves = {removal}}) == offer_outcome::accepted);
+        REQUIRE(with_hole.offer({.subtree = "t", .revision = 4, .leaves = {}}) == offer_outcome::accepted);
+        for (const auto& update : whole.newer_than(with_hole.digest())) {
+            static_cast<void>(with_hole.offer(update));
+        }
+        CHECK_FALSE(with_hole.current()->teams.at("t").services.contains("s1"));
+        CHECK(with_hole.digest() == whole.digest());
+    }
+    SECTION("a node of an older version states no content and gets what is newer only") {
+        auto older = whole.digest();
+        older.front().content = 0;
+        CHECK(whole.newer_than(older).empty());
+    }
+}
+
 TEST_CASE("a deeply nested leaf is refused like any other invalid one") {
     const auto value = std::string(100'000, '[') + std::string(100'000, ']');
     settings_tree tree;
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -91,11 +91,12 @@
 }
 
 TEST_CASE("control messages are unchanged after encoding and decoding") {
-    const subscription request{.revisions = {{"t", 4, 12}}, .nonce = 8, .follow = true};
+    const subscription request{.revisions = {{"t", 4, 12, 99}}, .nonce = 8, .follow = true};
     const auto received_request = decode_frame(encode(request));
     REQUIRE(succeeded(received_request));
     CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).revision == 4);
     CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).version == 12);
+    CHECK(std::get<subscription>(value_of(received_request)).revisions.at(0).content == 99);
     CHECK(std::get<subscription>(value_of(received_request)).follow);
     CHECK(std::get<subscription>(value_of(received_request)).accepts_parts);
     CHECK_FALSE(std::get<subscription>(value_of(received_request)).ends);
