--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -1,9 +1,9 @@
 // Conversion between messages and Cap'n Proto frames.
 #include "chervilturn/transport/codec.hpp"
 
-#include "chervilturn/transport/wire.capnp.h"
+#include "chervilturn/transport/settings_codec.hpp"
+#include "chervilturn/transport/wire_values.hpp"
 
-#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <cmath>
@@ -14,6 +14,8 @@
 
 namespace chervilturn {
 
+using namespace internal;
+
 namespace {
 
 // Limits for reading frames of a faulty peer.
@@ -21,33 +23,6 @@
 constexpr int max_nesting = 16;
 constexpr std::size_t max_headers = 256;
 
-[[nodiscard]] capnp::Text::Reader to_text(const std::string& value) {
-    return {value.c_str(), value.size()};
-}
-
-[[nodiscard]] std::string from_text(capnp::Text::Reader value) {
-    return {value.begin(), value.size()};
-}
-
-[[nodiscard]] capnp::Data::Reader to_data(const std::string& value) {
-    return {reinterpret_cast<const capnp::byte*>(value.data()), value.size()};
-}
-
-[[nodiscard]] std::string from_data(capnp::Data::Reader value) {
-    return {reinterpret_cast<const char*>(value.begin()), value.size()};
-}
-
-[[nodiscard]] std::uint64_t to_micros(microseconds duration) {
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
-}
-
-// Durations above one day can only come from a faulty sender. They are clamped, so that sums of durations
-// cannot overflow.
-[[nodiscard]] microseconds from_micros(std::uint64_t count) {
-    constexpr std::uint64_t max_micros = 86'400'000'000; // one day
-    return microseconds{static_cast<std::int64_t>(std::min(max_micros, count))};
-}
-
 void write_attempt(wire::AttemptId::Builder target, const attempt_id& attempt) {
     target.setEntry(attempt.entry);
     target.setSequence(attempt.sequence);
@@ -76,65 +51,6 @@
     return headers;
 }
 
-void write_digest(wire::Digest::Builder target, const subscription& outgoing) {
-    const auto& revisions = outgoing.revisions;
-    target.setNonce(outgoing.nonce);
-    target.setFollow(outgoing.follow);
-    target.setAcceptsParts(outgoing.accepts_parts);
-    target.setEnds(outgoing.ends);
-    auto list = target.initSubtrees(static_cast<unsigned>(revisions.size()));
-    for (std::size_t index = 0; index < revisions.size(); ++index) {
-        auto item = list[static_cast<unsigned>(index)];
-        item.setSubtree(to_text(revisions[index].subtree));
-        item.setRevision(revisions[index].revision);
-        item.setVersion(revisions[index].version);
-        item.setContent(revisions[index].content);
-    }
-}
-
-[[nodiscard]] subscription read_digest(wire::Digest::Reader source) {
-    subscription received{.revisions = {},
-                          .nonce = source.getNonce(),
-                          .follow = source.getFollow(),
-                          .accepts_parts = source.getAcceptsParts(),
-                          .ends = source.getEnds()};
-    for (const auto item : source.getSubtrees()) {
-        received.revisions.push_back(
-            {from_text(item.getSubtree()), item.getRevision(), item.getVersion(), item.getContent()});
-    }
-    return received;
-}
-
-void write_snapshot(wire::SubtreeUpdate::Builder target, const subtree_snapshot& snapshot) {
-    target.setSubtree(to_text(snapshot.subtree));
-    target.setRevision(snapshot.revision);
-    target.setComplete(snapshot.complete);
-    auto list = target.initLeaves(static_cast<unsigned>(snapshot.leaves.size()));
-    for (std::size_t index = 0; index < snapshot.leaves.size(); ++index) {
-        auto item = list[static_cast<unsigned>(index)];
-        item.setPath(to_text(snapshot.leaves[index].path));
-        item.setRevision(snapshot.leaves[index].revision);
-        item.setRemoved(snapshot.leaves[index].removed);
-        item.setValue(to_text(snapshot.leaves[index].value));
-        item.setVersion(snapshot.leaves[index].version);
-    }
-}
-
-[[nodiscard]] subtree_snapshot read_snapshot(wire::SubtreeUpdate::Reader source) {
-    subtree_snapshot snapshot{.subtree = from_text(source.getSubtree()),
-                              .revision = source.getRevision(),
-                              .complete = source.getComplete(),
-                              .leaves = {}};
-    for (const auto item : source.getLeaves()) {
-        snapshot.leaves.push_back({.path = from_text(item.getPath()),
-                                   .revision = item.getRevision(),
-                                   .removed = item.getRemoved(),
-                                   .value = from_text(item.getValue()),
-                                   .version = item.getVersion()});
-    }
-    return snapshot;
-}
-
 void write_call(wire::Call::Builder target, const call& outgoing) {
     write_attempt(target.initAttempt(), outgoing.attempt);
     target.setTeam(to_text(outgoing.team));
@@ -314,37 +230,6 @@
         .report = {static_cast<key_finding>(source.getFinding()), value_of(std::move(cached))}}};
 }
 
-[[nodiscard]] settings_update read_update(wire::Update::Reader source) {
-    settings_update update{.subtrees = {}, .nonce = source.getNonce()};
-    for (const auto item : source.getSubtrees()) {
-        update.subtrees.push_back(read_snapshot(item));
-    }
-    return update;
-}
-
-void write_part(wire::UpdatePart::Builder target, const update_part& outgoing) {
-    target.setTransfer(outgoing.transfer);
-    target.setOffset(outgoing.offset);
-    target.setTotal(outgoing.total);
-    target.setBytes(to_data(outgoing.bytes));
-}
-
-[[nodiscard]] update_part read_part(wire::UpdatePart::Reader source) {
-    return {.transfer = source.getTransfer(),
-            .offset = source.getOffset(),
-            .total = source.getTotal(),
-            .bytes = from_data(source.getBytes())};
-}
-
-void write_receipt(wire::PartReceipt::Builder target, const part_receipt& outgoing) {
-    target.setTransfer(outgoing.transfer);
-    target.setReceived(outgoing.received);
-}
-
-[[nodiscard]] part_receipt read_receipt(wire::PartReceipt::Reader source) {
-    return {.transfer = source.getTransfer(), .received = source.getReceived()};
-}
-
 void write_report(wire::CrashReport::Builder target, const crash_report& outgoing) {
     auto list = target.initEvidence(static_cast<unsigned>(outgoing.evidence.size()));
     for (std::size_t index = 0; index < outgoing.evidence.size(); ++index) {
@@ -403,14 +288,7 @@
                    [&](const crash_report& item) { write_report(frame.initCrashReport(), item); },
                    [&](const part_receipt& item) { write_receipt(frame.initPartReceipt(), item); },
                    [&](const subscription& item) { write_digest(frame.initSubscribe(), item); },
-                   [&](const settings_update& item) {
-                       auto target = frame.initUpdate();
-                       target.setNonce(item.nonce);
-                       auto list = target.initSubtrees(static_cast<unsigned>(item.subtrees.size()));
-                       for (std::size_t index = 0; index < item.subtrees.size(); ++index) {
-                           write_snapshot(list[static_cast<unsigned>(index)], item.subtrees[index]);
-                       }
-                   }},
+                   [&](const settings_update& item) { write_update(frame.initUpdate(), item); }},
         outgoing);
 }
 
--- a/test/scenarios/crashed_server_back_before_probe.lua
+++ b/test/scenarios/crashed_server_back_before_probe.lua
@@ -6,14 +6,6 @@
   node_settings = { probes = { probes_per_second = 1 } } } -- the budget holds back the probe after a cut
 f:start()
 local crashes = 0
-local function restart_ended_backends()
-  for _, node in ipairs(f.node_list) do
-    if exit_code(node.backend_pid) ~= -1000 then
-      crashes = crashes + 1
-      f:start_backend(node)
-    end
-  end
-end
 -- Calls until a restarted server has had one; each of four servers is chosen soon.
 local function answer_calls()
   for index = 1, 24 do
@@ -30,7 +22,7 @@
 end
 wait_until("the request is held everywhere", settings_timeout, function()
   f:call(f.node_list[1], { service = "passports", path = "/x?crash=1", body = "deadly", deadline_ms = 500 })
-  restart_ended_backends()
+  crashes = crashes + f:restart_ended_backends()
   answer_calls()
   wait_for_probes()
   for _, node in ipairs(f.node_list) do
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -173,6 +173,18 @@
   end)
 end
 
+-- Starts the backend servers that have ended again, under their names; returns their number.
+function fleet_methods:restart_ended_backends()
+  local ended = 0
+  for _, node in ipairs(self.node_list) do
+    if exit_code(node.backend_pid) ~= -1000 then
+      ended = ended + 1
+      self:start_backend(node)
+    end
+  end
+  return ended
+end
+
 -- Writes the settings file of a node, with changes to single settings if given; returns its path.
 function fleet_methods:write_settings(node, changes)
   local settings = { host = node.name, data_centre = node.data_centre, callers = address_of(node.caller_port),
--- a/test/scenarios/request_crashes_servers.lua
+++ b/test/scenarios/request_crashes_servers.lua
@@ -5,14 +5,6 @@
   routes = { lookup = { service = "passports", idempotent = true } } }
 f:start()
 local crashes = 0
-local function restart_ended_backends()
-  for _, node in ipairs(f.node_list) do
-    if exit_code(node.backend_pid) ~= -1000 then
-      crashes = crashes + 1
-      f:start_backend(node)
-    end
-  end
-end
 local function deadly_call(entry)
   return f:call(entry, { service = "passports", path = "/x?crash=1", body = "deadly", deadline_ms = 3000 })
 end
@@ -36,7 +28,7 @@
 wait_until("the request is held everywhere", settings_timeout, function()
   entry = entry % #f.node_list + 1
   deadly_call(f.node_list[entry])
-  restart_ended_backends()
+  crashes = crashes + f:restart_ended_backends()
   return held_everywhere(1)
 end)
 check(crashes >= 3, "no request is held before it crashed three servers: " .. crashes)
@@ -50,7 +42,7 @@
     "the held request is refused: " .. tostring(response.status) .. " " .. tostring(response.reason))
   check((response.headers or {})["retry-after"] == nil, "no invitation to try again")
 end
-restart_ended_backends()
+crashes = crashes + f:restart_ended_backends()
 check(crashes == crashes_before, "no further server has crashed")
 
 -- A node that restarts learns it from its peers.
