--- a/src/chervilturn/core/hash.hpp
+++ b/src/chervilturn/core/hash.hpp
@@ -1,4 +1,4 @@
-// Hashes of texts and rendezvous hashing with xxHash. Every process computes the same ranking of names for a key.
+// Hashes of texts and rendezvous hashing with xxHash. Every process computes the same values.
 #pragma once
 
 #include <cstdint>
