End a subscription also while its connection is opened

Cause: a request to follow that waits for the connection still went out after the node had chosen another parent, and nothing took it back; the peer then went on sending.

Change: the end waits in the same queue as the request, without a condition. The reader's test waits with wait_for and starts its node in one place; its checks are the same.

--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -91,9 +91,7 @@
         return;
     }
     found->second.followed = false;
-    if (found->second.is_ready()) { // the peer forgets the subscriptions of a connection that ends
-        this->send_on(found->second, subscription{.revisions = request.revisions, .ends = true});
-    }
+    this->send_on(found->second, subscription{.revisions = request.revisions, .ends = true});
 }
 
 void peer_client_task::handle(const send_key_inquiry& request) {
--- a/test/platform/settings_reader_test.cpp
+++ b/test/platform/settings_reader_test.cpp
@@ -17,8 +17,6 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr auto patience = 10s;
-
 std::string config_text(std::uint64_t version, std::size_t route_count) {
     auto routes = json::array();
     for (std::size_t index = 0; index < route_count; ++index) {
@@ -103,17 +101,14 @@
                                                  });
     }
 
-    // Runs the loop until a condition holds; fails after a time that no healthy run takes.
-    void run_until(const std::function<bool()>& condition) {
-        const auto limit = monotonic_clock::now() + patience;
-        timer check{this->loop, [&] {
-                        if (condition() || monotonic_clock::now() > limit) {
-                            this->loop.stop();
-                        }
-                    }};
-        check.start_periodic(1ms);
-        this->loop.run();
-        REQUIRE(condition());
+    void run_until(const std::function<bool()>& condition) { REQUIRE(test::wait_for(this->loop, condition)); }
+
+    // Starts with a configuration of one route and one backend server, and waits until they are read.
+    void start() {
+        this->store.put("op/config", config_text(4, 1));
+        this->store.put("servers/i-1", server_text(1, "ready"));
+        this->reader->activate(0ms);
+        this->run_until([this] { return this->reader->revision() > 0; });
     }
 
     void run_until_next_call() {
@@ -149,10 +144,7 @@
 
 TEST_CASE("an interrupted reader hands over what the store reported meanwhile", "[settings_reader]") {
     reading_node node;
-    node.store.put("op/config", config_text(4, 1));
-    node.store.put("servers/i-1", server_text(1, "ready"));
-    node.reader->activate(0ms);
-    node.run_until([&] { return node.reader->revision() > 0; });
+    node.start();
     bool interrupted = false;
     bool reported = false;
 
@@ -272,10 +264,7 @@
         R"({"address":"127.0.1.9:8328","info":[],"status":{"state":"ready"}})",
         R"({"address":"127.0.1.9:8328","info":{"service":["s"],"zone":"a","slots":6},"status":{"state":7}})"};
     reading_node node;
-    node.store.put("op/config", config_text(4, 1));
-    node.store.put("servers/i-1", server_text(1, "ready"));
-    node.reader->activate(0ms);
-    node.run_until([&] { return node.reader->revision() > 0; });
+    node.start();
     const auto server = [&node](const std::string& id) {
         return reading_node::present(node.tree).contains("teams/platform/backend_servers/" + id);
     };
