--- a/test/platform/store_platform_test.cpp
+++ b/test/platform/store_platform_test.cpp
@@ -136,6 +136,19 @@
         }
     }
 
+    // A peer sends the route with another service, as of a revision and version.
+    void receive_route(const std::string& service, std::uint64_t revision) {
+        const auto path = std::string{teams_prefix} + team_name + "/routes/r";
+        const auto value = json{{"host", "h.example"}, {"prefix", "/a/"}, {"service", service}}.dump();
+        static_cast<void>(this->tree.offer({.subtree = team_name,
+                                            .revision = revision,
+                                            .leaves = {{.path = path,
+                                                        .revision = revision,
+                                                        .removed = false,
+                                                        .value = value,
+                                                        .version = revision}}}));
+    }
+
     // The service of the only route.
     [[nodiscard]] std::string route_service() const {
         return this->tree.current()->teams.at(team_name).routes->find("r")->service;
@@ -144,6 +157,18 @@
 
 } // namespace
 
+TEST_CASE("a route that changed and changed back is as in the store, also when a peer sent the value between",
+          "[changed_back]") {
+    mirrored_tree mirror;
+    mirror.store.answer(200, {{"items", {config_item("s1", 10)}}, {"has_more", false}, {"at_rev", 18}});
+    REQUIRE(mirror.watch());
+    mirror.receive_route("s2", 19);
+    REQUIRE(mirror.route_service() == "s2");
+    mirror.store.answer(200, {{"events", {config_item("s2", 19), config_item("s1", 20)}}, {"at_rev", 20}});
+    REQUIRE(mirror.watch());
+    CHECK(mirror.route_service() == "s1");
+}
+
 TEST_CASE("the mirror reports the current leaves of the store") {
     mirrored_tree mirror;
     mirror.store.answer(200, {{"items", {config_item("s1", 10)}}, {"has_more", false}, {"at_rev", 18}});
--- a/test/support/raw_peer.hpp
+++ b/test/support/raw_peer.hpp
@@ -11,10 +11,11 @@
 
 namespace chervilturn::test {
 
-/// @brief Runs the loop until the condition holds; false if it does not within ten seconds.
-template<typename Condition> [[nodiscard]] bool wait_for(event_loop& loop, Condition condition) {
-    constexpr auto wait_timeout = std::chrono::seconds{10};
-    const auto deadline = monotonic_clock::now() + wait_timeout;
+/// @brief Runs the loop until the condition holds; false if it does not within the time limit.
+template<typename Condition>
+[[nodiscard]] bool wait_for(event_loop& loop, Condition condition,
+                            microseconds time_limit = std::chrono::seconds{10}) {
+    const auto deadline = monotonic_clock::now() + time_limit;
     while (!condition()) {
         if (monotonic_clock::now() > deadline) {
             return false;
--- a/test/support/scenario_main.cpp
+++ b/test/support/scenario_main.cpp
@@ -78,10 +78,10 @@
     return 1;
 }
 
-// signal(process_id, name): sends KILL, TERM, STOP, CONT or HUP.
+// signal(process_id, name): sends KILL, TERM, INT, STOP, CONT or HUP.
 int lua_signal(lua_State* lua) {
-    const std::map<std::string, int> signal_numbers{
-        {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"HUP", SIGHUP}};
+    const std::map<std::string, int> signal_numbers{{"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP},
+                                                    {"CONT", SIGCONT}, {"HUP", SIGHUP},   {"INT", SIGINT}};
     host_of(lua).signal(static_cast<pid_t>(luaL_checkinteger(lua, 1)),
                         signal_numbers.at(luaL_checkstring(lua, 2)));
     return 0;
