Block signals once the node has stopped, so that a repeated SIGTERM ends no proper stop

Cause: the event loop handles SIGTERM, SIGINT and SIGHUP until the node is destroyed; then their default action is restored while the process still has destructors to run, seconds under load. The next signal of a series kills it. SIGHUP had the same gap before the settings file is watched: it ended a node that was starting. Ruled out: the grace time and the kill after it; the log ends with shutdown_complete, and the status is SIGTERM's. Change: the program blocks the signals after the node has run, and ignores SIGHUP until the node handles it. Conclusion: a stop that was asked for is reported as one, however often it is asked for.

--- a/tools/node_program.cpp
+++ b/tools/node_program.cpp
@@ -4,6 +4,7 @@
 #include "chervilturn/node/node.hpp"
 #include "chervilturn/observe/log.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -29,7 +30,19 @@
     return {config.getValue(), check.getValue()};
 }
 
+// Blocks the node's signals for the rest of the process: destroying the node restores their default action,
+// which ends the process with an error.
+void block_signals() {
+    sigset_t blocked{};
+    sigemptyset(&blocked);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&blocked, number);
+    }
+    pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+}
+
 int run_node(const std::string& file, const node_settings& settings, const node_protocols& protocols) {
+    std::signal(SIGHUP, SIG_IGN); // until reload_from() handles it: the settings were read a moment ago
     start_logging(settings.log_level, settings.host);
     node local_node{settings, protocols};
     const auto start_result = local_node.start();
@@ -39,6 +52,7 @@
     }
     local_node.reload_from(file, [file] { return read_node_settings(file); });
     local_node.run();
+    block_signals(); // a repeated request to stop must not turn a proper stop into a failure
     return 0;
 }
 
