Compare the settings of a reader with the store after each read, and apply every version in a response

Callers saw: requests run by the service of an older version, or refused with 404, long after a newer one. Cause: the mirror of the store reports differences from its own last read, to a tree that has other sources. Where a route was A, B and A again, a reader that read only the last A reported nothing; nodes that had B from another reader, or from a peer, kept it below a revision that says they have everything. The same held for removals, servers that drain or return and evacuations taken back. Class: a difference taken against one's own last read. Ruled out: applying all versions in order alone. It gives a leaf the revision of its last change, so that equal knowledge has equal revisions, but mends the skipped version only; a removal after the grace period of another reader, or a reader that leaves, still left a difference that nobody stated. Change: settings_mirror holds what was read, with the content of each subtree. After each read it is compared with the offered leaves of the tree; what differs and is not newer is stated again, as of the revision that was read, without a call to the store. Removals in their grace period and entries set aside are left out. All versions of a response are applied in order; rows that a version shares with the one before are not translated again. A leaf of exactly the revision of a complete listing is no longer taken as absent: a revision is one write. The section that asserted reported_leaves == 0 for A, B, A asserted the fault; it asserts 1 now, the leaf with its new revision. Conclusion: a tree with a reader equals what the reader read, whatever the reader missed.

--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -29,6 +29,10 @@
     return state.revision > other.revision;
 }
 
+std::uint64_t content_of(const leaf& state) noexcept {
+    return state.removed ? 0 : hash_of(state.path, state.value);
+}
+
 bool may_lack(const subtree_revision& known, const subtree_revision& other) noexcept {
     return known.revision < other.revision || known.version < other.version;
 }
@@ -138,6 +142,46 @@
     return updates;
 }
 
+const leaf* settings_tree::offered(const std::string& path) const {
+    const auto state = this->states.find(subtree_of(path));
+    return state == this->states.end() ? nullptr : find_leaf(state->second, state->second.not_accepted, path);
+}
+
+std::vector<const leaf*> settings_tree::offered_leaves(const std::string& subtree) const {
+    std::vector<const leaf*> found;
+    const auto state = this->states.find(subtree);
+    if (state == this->states.end()) {
+        return found;
+    }
+    const auto& [name, held] = *state;
+    for (const auto& [path, accepted] : held.accepted) {
+        if (!accepted.state.removed && !held.not_accepted.contains(path)) {
+            found.push_back(&accepted.state);
+        }
+    }
+    for (const auto& [path, candidate] : held.not_accepted) {
+        if (!candidate.removed) {
+            found.push_back(&candidate);
+        }
+    }
+    return found;
+}
+
+std::uint64_t settings_tree::offered_content(const std::string& subtree) const {
+    const auto state = this->states.find(subtree);
+    if (state == this->states.end()) {
+        return 0;
+    }
+    const auto& [name, held] = *state;
+    auto content = held.content;
+    for (const auto& [path, candidate] : held.not_accepted) {
+        const auto accepted = held.accepted.find(path);
+        content ^= accepted == held.accepted.end() ? 0 : accepted->second.hash;
+        content ^= content_of(candidate);
+    }
+    return content;
+}
+
 // Merges a snapshot into the accepted leaves instead of the candidate. This accepts a peer's valid leaves
 // even while this node has a newer candidate that was rejected.
 bool settings_tree::accept_despite_rejected_candidate(subtree_state& state,
@@ -164,7 +208,7 @@
         auto& accepted = state.accepted[path];
         state.by_change.erase(accepted.change);
         state.content ^= accepted.hash;
-        const auto hash = changed.removed ? 0 : hash_of(path, changed.value);
+        const auto hash = content_of(changed);
         state.content ^= hash;
         accepted = {.state = std::move(changed), .change = ++this->last_change, .hash = hash};
         state.by_change.emplace(accepted.change, &accepted);
@@ -174,7 +218,7 @@
 }
 
 bool settings_tree::is_known_absent(const subtree_state& state, const leaf& incoming) noexcept {
-    return incoming.revision <= state.tombstones_since && incoming.version <= state.version;
+    return incoming.revision < state.tombstones_since && incoming.version <= state.version;
 }
 
 const leaf* settings_tree::find_leaf(const subtree_state& state, const leaf_changes& changes,
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -33,6 +33,10 @@
     [[nodiscard]] bool operator==(const subtree_revision&) const = default;
 };
 
+/// @brief Hash of the path and value of a leaf; 0 when it is removed. Combined by XOR, these are the content
+/// of a subtree.
+[[nodiscard]] std::uint64_t content_of(const leaf& state) noexcept;
+
 /// @brief Whether a node with a revision of a subtree lacks something that a node with another one may have.
 [[nodiscard]] bool may_lack(const subtree_revision& known, const subtree_revision& other) noexcept;
 
@@ -90,6 +94,15 @@
     /// revisions: also those that came later than others with a higher revision.
     [[nodiscard]] std::vector<subtree_snapshot> accepted_since(std::uint64_t change) const;
 
+    /// @brief The newest state of a leaf that was offered, accepted or not; null when there was none.
+    [[nodiscard]] const leaf* offered(const std::string& path) const;
+
+    /// @brief The newest offered states of a subtree's leaves, without the removed ones.
+    [[nodiscard]] std::vector<const leaf*> offered_leaves(const std::string& subtree) const;
+
+    /// @brief The content of offered_leaves().
+    [[nodiscard]] std::uint64_t offered_content(const std::string& subtree) const;
+
     /// @brief The compiled model of all accepted subtrees; never null.
     [[nodiscard]] const std::shared_ptr<const model>& current() const noexcept { return this->compiled; }
 
@@ -102,7 +115,7 @@
     struct accepted_leaf {
         leaf state;
         std::uint64_t change = 0; // that it was accepted with; of one leaf only
-        std::uint64_t hash = 0;   // of path and value; 0 when it is removed
+        std::uint64_t hash = 0;   // content_of(state)
     };
     struct subtree_state {
         revision_number revision = 0;                  // accepted; never decreases
@@ -121,7 +134,7 @@
     [[nodiscard]] static const leaf* find_leaf(const subtree_state& state, const leaf_changes& changes,
                                                const std::string& path);
     // Whether a leaf that does not exist in the state is known to be outdated: an accepted complete snapshot
-    // of its revision or a later one did not list it.
+    // of a later revision did not list it.
     [[nodiscard]] static bool is_known_absent(const subtree_state& state, const leaf& incoming) noexcept;
     // Adds the snapshot's newer leaves to changes of the accepted leaves.
     [[nodiscard]] static bool merge(const subtree_state& state, leaf_changes& changes,
--- a/src/chervilturn/membership/removal_grace.cpp
+++ b/src/chervilturn/membership/removal_grace.cpp
@@ -32,4 +32,12 @@
     return due;
 }
 
+std::vector<std::string> removal_grace::pending_names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, removal_time] : this->pending) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 } // namespace chervilturn
--- a/src/chervilturn/membership/removal_grace.hpp
+++ b/src/chervilturn/membership/removal_grace.hpp
@@ -36,6 +36,9 @@
     /// @brief Removes and returns the names whose grace period has ended; they count as removed.
     [[nodiscard]] std::vector<std::string> take_expired(instant now);
 
+    /// @brief Names of the pending removals.
+    [[nodiscard]] std::vector<std::string> pending_names() const;
+
     /// @brief Number of pending removals.
     [[nodiscard]] std::size_t pending_count() const noexcept { return this->pending.size(); }
 
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -25,7 +25,7 @@
 control_task::control_task(const node_context& shared)
     : context{&shared}, followers{shared, this->tree}, random{shared.incarnation},
       seeds{shared.settings.seeds, shared.settings.reachable_at, shared.incarnation},
-      reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings),
+      reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings), this->tree,
              [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
       anti_entropy{*shared.loop, [this] { this->compare_with_random_peer(); }},
       fallback_start{*shared.loop, [this] { this->read_if_empty(); }},
--- a/src/chervilturn/node/platform.hpp
+++ b/src/chervilturn/node/platform.hpp
@@ -49,6 +49,11 @@
     /// @brief The caller has read everything that a result of watch() lists. Until then the platform lists it
     /// again in later results, unless these depend on the requested revision alone.
     virtual void confirm(std::uint64_t result_number) = 0;
+
+    /// @brief Compares the caller's settings with the state that was read last. What differs and is not newer
+    /// is listed in the next result, which watch() then gives at once. Returns the number of these leaves:
+    /// always 0 of a platform that numbers the changes of each leaf, where none can be missed.
+    [[nodiscard]] virtual std::size_t reconcile(const settings_tree& held) = 0;
 };
 
 /// @brief Client for the HTTP interface that docs/PLATFORM.md describes. After a failed request, further
@@ -60,6 +65,7 @@
     void watch(revision_number after, microseconds wait, watch_handler handler) override;
     void read(const std::string& path, read_handler handler) override;
     void confirm(std::uint64_t) override {}
+    [[nodiscard]] std::size_t reconcile(const settings_tree&) override { return 0; }
 
   private:
     using body_handler = std::function<void(result<std::string, platform_error>)>;
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 settings_reader::settings_reader(const node_context& shared, std::unique_ptr<platform> watched_platform,
-                                 batch_handler on_batch)
-    : context{&shared}, platform_client{std::move(watched_platform)}, handler{std::move(on_batch)},
-      random{shared.incarnation}, watch_timer{*shared.loop, [this] { this->watch(); }} {}
+                                 const settings_tree& offered_tree, batch_handler on_batch)
+    : context{&shared}, platform_client{std::move(watched_platform)}, tree{&offered_tree},
+      handler{std::move(on_batch)}, random{shared.incarnation}, watch_timer{*shared.loop,
+                                                                            [this] { this->watch(); }} {}
 
 void settings_reader::activate(microseconds max_delay) {
     if (this->is_active || this->platform_client == nullptr) {
@@ -169,6 +170,17 @@
     this->schedule(this->context->settings.reading.pause);
     this->handler(std::move(snapshot_list));
     this->platform_client->confirm(this->current.number);
+    this->reconcile();
+}
+
+// The tree has other sources: it may hold what this reader never read, or lack what another one reported.
+void settings_reader::reconcile() {
+    const auto restated = this->platform_client->reconcile(*this->tree);
+    if (restated > 0 && this->is_active) {
+        log_event(log_level::warn, "settings_differ_from_platform",
+                  {{"revision", this->last_read_revision}, {"leaves", restated}});
+        this->schedule(microseconds::zero());
+    }
 }
 
 void settings_reader::back_off(const platform_error& error) {
--- a/src/chervilturn/node/settings_reader.hpp
+++ b/src/chervilturn/node/settings_reader.hpp
@@ -19,9 +19,10 @@
     /// @brief Receives the subtrees of one batch; empty when the platform confirmed that nothing is newer.
     using batch_handler = std::function<void(std::vector<subtree_snapshot>)>;
 
-    /// @brief Without a platform (null) the reader never becomes active.
+    /// @brief Without a platform (null) the reader never becomes active. The handler offers each batch to the
+    /// tree, which is compared with the platform after it.
     settings_reader(const node_context& context, std::unique_ptr<platform> watched_platform,
-                    batch_handler handler);
+                    const settings_tree& tree, batch_handler handler);
 
     /// @brief Starts to watch after a random delay between zero and max_delay, so that the nodes of a fleet
     /// do not all start at once. Does nothing while it is active.
@@ -59,6 +60,7 @@
     void read_next_leaf(std::uint64_t reply_round);
     void on_leaf_read(std::uint64_t reply_round, const result<leaf, platform_error>& response);
     void finish_batch();
+    void reconcile();
     // Ignores the replies that are still expected.
     void abandon_request();
     void back_off(const platform_error& error);
@@ -66,6 +68,7 @@
 
     const node_context* context;
     std::unique_ptr<platform> platform_client; // may be null
+    const settings_tree* tree;
     batch_handler handler;
     random_source random;
     timer watch_timer;
--- a/test/platform/settings_fleet_test.cpp
+++ b/test/platform/settings_fleet_test.cpp
@@ -220,7 +220,7 @@
         bool loaded = false;
         settings_reader reader{
             context, std::make_unique<store_platform>(this->loop, context.settings, this->reference_address),
-            [&](const std::vector<subtree_snapshot>& batch) {
+            tree, [&](const std::vector<subtree_snapshot>& batch) {
                 for (const auto& snapshot : batch) {
                     static_cast<void>(tree.offer(snapshot));
                 }
--- a/test/platform/settings_reader_test.cpp
+++ b/test/platform/settings_reader_test.cpp
@@ -60,6 +60,10 @@
 
     void confirm(std::uint64_t result_number) override { this->observed->confirm(result_number); }
 
+    [[nodiscard]] std::size_t reconcile(const settings_tree& held) override {
+        return this->observed->reconcile(held);
+    }
+
   private:
     std::unique_ptr<platform> observed;
     std::function<void()>* on_result;
@@ -93,7 +97,7 @@
         auto platform = std::make_unique<observed_platform>(
             std::make_unique<store_platform>(this->loop, this->context.settings, this->store_address),
             handler);
-        return std::make_unique<settings_reader>(this->context, std::move(platform),
+        return std::make_unique<settings_reader>(this->context, std::move(platform), target,
                                                  [&target](const std::vector<subtree_snapshot>& batch) {
                                                      for (const auto& snapshot : batch) {
                                                          static_cast<void>(target.offer(snapshot));
--- a/test/platform/store_platform_test.cpp
+++ b/test/platform/store_platform_test.cpp
@@ -169,6 +169,67 @@
     CHECK(mirror.route_service() == "s1");
 }
 
+TEST_CASE("what differs from the store in settings with other sources is reported again, without a call",
+          "[changed_back]") {
+    mirrored_tree mirror;
+    mirror.store.answer(200, {{"items", {config_item("s1", 10)}}, {"has_more", false}, {"at_rev", 18}});
+    REQUIRE(mirror.watch());
+    mirror.store.answer(200, {{"events", json::array()}, {"at_rev", 25}});
+    REQUIRE(mirror.watch());
+    REQUIRE(mirror.platform->reconcile(mirror.tree) == 0);
+    const std::string route_path = std::string{teams_prefix} + team_name + "/routes/r";
+    const std::string other_path = std::string{teams_prefix} + team_name + "/routes/other";
+    // Of version 10 as the mirror's leaves, and a later revision than theirs, up to which the reader read.
+    const auto receive = [&](const std::string& path, bool removed) {
+        const std::string value = removed ? "" : R"({"host": "h.example", "prefix": "/b/", "service": "s2"})";
+        static_cast<void>(mirror.tree.offer(
+            {.subtree = team_name,
+             .revision = 20,
+             .leaves = {{.path = path, .revision = 20, .removed = removed, .value = value, .version = 10}}}));
+    };
+    const auto has_route = [&](const char* name) {
+        const auto& routes = mirror.tree.current()->teams.at(team_name).routes;
+        return routes != nullptr && routes->find(name) != nullptr;
+    };
+    const auto calls = mirror.store.targets.size();
+
+    SECTION("a value that the reader never read") {
+        receive(route_path, false);
+        REQUIRE(mirror.route_service() == "s2");
+        CHECK(mirror.platform->reconcile(mirror.tree) == 1);
+        REQUIRE(mirror.watch());
+        CHECK(mirror.route_service() == "s1");
+    }
+    SECTION("a removal that the store does not have") {
+        receive(route_path, true);
+        REQUIRE_FALSE(has_route("r"));
+        CHECK(mirror.platform->reconcile(mirror.tree) == 1);
+        REQUIRE(mirror.watch());
+        CHECK(mirror.route_service() == "s1");
+    }
+    SECTION("a leaf that the store does not have") {
+        receive(other_path, false);
+        REQUIRE(has_route("other"));
+        CHECK(mirror.platform->reconcile(mirror.tree) == 1);
+        REQUIRE(mirror.watch());
+        CHECK_FALSE(has_route("other"));
+    }
+    SECTION("but nothing that is newer than what was read") {
+        mirror.receive_route("s2", 26);
+        CHECK(mirror.platform->reconcile(mirror.tree) == 0);
+        CHECK(mirror.route_service() == "s2");
+    }
+    CHECK(mirror.store.targets.size() == calls);
+    CHECK(mirror.platform->reconcile(mirror.tree) == 0);
+
+    SECTION("and nothing again that was offered and is not valid") {
+        mirror.store.answer(200, {{"events", {config_item("unknown", 27)}}, {"at_rev", 27}});
+        REQUIRE(mirror.watch());
+        REQUIRE(mirror.tree.rejections().contains(team_name));
+        CHECK(mirror.platform->reconcile(mirror.tree) == 0);
+    }
+}
+
 TEST_CASE("the mirror reports the current leaves of the store") {
     mirrored_tree mirror;
     mirror.store.answer(200, {{"items", {config_item("s1", 10)}}, {"has_more", false}, {"at_rev", 18}});
@@ -181,12 +242,12 @@
         REQUIRE(mirror.watch());
         CHECK(mirror.route_service() == "s2");
     }
-    SECTION("after several changes of an item in one response, with the last one only") {
+    SECTION("after several changes of an item in one response, also when the last one is as before") {
         mirror.store.answer(200,
                             {{"events", {config_item("s2", 19), config_item("s1", 20)}}, {"at_rev", 20}});
         REQUIRE(mirror.watch());
         CHECK(mirror.route_service() == "s1");
-        CHECK(mirror.reported_leaves == 0);
+        CHECK(mirror.reported_leaves == 1);
     }
     SECTION("after lost history, also when a value changed and changed back in between") {
         // Another node sent the intermediate value.
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -34,7 +34,7 @@
 }
 
 model sample_model() {
-    const auto translated = translate_config(sample_config);
+    const auto translated = config_translator{}.translate(sample_config);
     REQUIRE(succeeded(translated));
     const auto checked_team = check_team(team_name, leaves_of(value_of(translated).leaves));
     REQUIRE(succeeded(checked_team));
@@ -76,10 +76,10 @@
     CHECK(platform_team.limits->idle_timeout == 15s);
 
     SECTION("a malformed configuration is an error, not an empty team") {
-        CHECK_FALSE(succeeded(translate_config("{\"routes\":")));
-        CHECK_FALSE(succeeded(translate_config("{\"routes\":{}}")));
-        CHECK_FALSE(succeeded(translate_config("[]")));
-        CHECK_FALSE(succeeded(translate_config(
+        CHECK_FALSE(succeeded(config_translator{}.translate("{\"routes\":")));
+        CHECK_FALSE(succeeded(config_translator{}.translate("{\"routes\":{}}")));
+        CHECK_FALSE(succeeded(config_translator{}.translate("[]")));
+        CHECK_FALSE(succeeded(config_translator{}.translate(
             R"({"config_version":"x","routes":{"columns":[],"rows":[]},"services":{"columns":[],"rows":[]}})")));
     }
 }
