Let another node of the data centre read the platform when no reader reaches it

Callers saw: a change not in force in time while the store turned the readers of all data centres away, though other hosts could have read it. Cause: the reading is bound to the rank of a host. A reader that cannot reach the store goes on trying alone; its followers see a living parent. A reader that does not reach it, and hears of no reader that does, asks two hosts of its data centre at a time to read instead, leaving ones last, then pauses 4 s. A substitute makes one call; it goes on while that succeeds and it is asked again within 3 s. A response that is 0.3 s overdue counts as not reached, though the request goes on; the other readers are told at once. Conclusion: as long as one host of a data centre, or one reader elsewhere, reaches the store, changes arrive in time.

--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -24,11 +24,12 @@
       seeds{shared.settings.seeds, shared.settings.reachable_at, shared.incarnation},
       reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings), this->tree,
              [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
-      exchange{shared, this->tree, this->reader}, fallback_start{*shared.loop,
-                                                                 [this] { this->read_if_empty(); }},
+      exchange{shared, this->tree, this->reader, [this] { this->update_reading(); }},
+      fallback_start{*shared.loop, [this] { this->read_if_empty(); }},
       seed_retry{*shared.loop, [this] { this->ask_seeds_if_empty(); }},
       follow_retry{*shared.loop, [this] { this->follow_next_parent(); }},
       stale_expiry{*shared.loop, [this] { this->confirm("patience"); }} {
+    this->reader.on_platform_lost([this] { this->exchange.on_platform_lost(); });
     shared.mailboxes->control.on_message([this](control_message&& received) {
         std::visit([this](const auto& item) { this->handle(item); }, received);
     });
@@ -231,7 +232,7 @@
 }
 
 void control_task::update_reading() {
-    if (this->position.reader) {
+    if (this->position.reader || this->exchange.reads_instead()) {
         this->reader.activate(reader_start_spread);
     } else if (this->parent_responded) {
         this->reader.deactivate();
--- a/src/chervilturn/node/settings_exchange.cpp
+++ b/src/chervilturn/node/settings_exchange.cpp
@@ -1,4 +1,4 @@
-// Tells peers about this node's settings, and asks those with others.
+// Tells peers about this node's settings, asks those with others, and finds substitutes for a cut-off reader.
 #include "chervilturn/node/settings_exchange.hpp"
 
 #include "chervilturn/observe/log.hpp"
@@ -14,15 +14,23 @@
 constexpr microseconds random_comparison_period = std::chrono::seconds{5};
 constexpr double local_data_centre_share = 0.75;                   // of comparisons with random hosts
 constexpr microseconds stalled_transfer = std::chrono::seconds{1}; // without a part
+constexpr std::size_t substitutes_at_once = 2;
+constexpr microseconds substitute_response_time = std::chrono::milliseconds{250};
+constexpr microseconds substitute_round_pause = std::chrono::seconds{4}; // after all candidates failed
+constexpr microseconds reading_lease = std::chrono::seconds{3}; // after the last request to read instead
 
 } // namespace
 
 settings_exchange::settings_exchange(const node_context& shared, const settings_tree& own_tree,
-                                     const settings_reader& own_reader)
-    : context{&shared}, tree{&own_tree}, reader{&own_reader}, random{shared.incarnation},
+                                     const settings_reader& own_reader,
+                                     std::function<void()> on_reading_changed)
+    : context{&shared}, tree{&own_tree}, reader{&own_reader},
+      reading_changed{std::move(on_reading_changed)}, random{shared.incarnation},
       tell_timer{*shared.loop, [this] { this->tell_all(); }}, due_timer{*shared.loop,
                                                                         [this] { this->exchange_due(); }},
-      random_timer{*shared.loop, [this] { this->compare_with_random_peer(); }} {}
+      random_timer{*shared.loop, [this] { this->compare_with_random_peer(); }},
+      substitute_timer{*shared.loop, [this] { this->find_substitutes(); }},
+      reading_expiry{*shared.loop, [this] { this->end_reading_instead(); }} {}
 
 void settings_exchange::start() {
     this->tell_timer.start_periodic(tell_period);
@@ -31,6 +39,7 @@
 
 void settings_exchange::set_position(const relay_position& position,
                                      const std::optional<address>& followed_parent) {
+    this->is_reader = position.reader;
     if (position.reader) {
         this->compared_peers = position.parents;
     } else if (followed_parent) {
@@ -61,7 +70,15 @@
 
 void settings_exchange::on_compared(const comparison_received& message) {
     const auto& told = message.told;
-    this->comparisons.on_told(message.peer, told.state, told.reads_platform, now_monotonic());
+    const auto now = now_monotonic();
+    const bool had_readers = !this->comparisons.platform_readers(now).empty();
+    this->comparisons.on_told(message.peer, told.state, told.reads_platform, now);
+    if (had_readers && this->comparisons.platform_readers(now).empty()) {
+        this->find_substitutes();
+    }
+    if (told.read_instead) {
+        this->begin_reading_for(message.peer);
+    }
     this->exchange_due();
     if (this->comparisons.any_differs(digest_hash(this->tree->digest()))) {
         this->due_timer.start_once(due_check_delay);
@@ -83,9 +100,11 @@
     this->tell_all();
 }
 
-void settings_exchange::tell(const address& peer) {
-    this->context->mailboxes->peer_client.post(send_comparison{
-        peer, {.state = digest_hash(this->tree->digest()), .reads_platform = this->reads_platform()}});
+void settings_exchange::tell(const address& peer, bool read_instead) {
+    this->context->mailboxes->peer_client.post(send_comparison{peer,
+                                                               {.state = digest_hash(this->tree->digest()),
+                                                                .reads_platform = this->reads_platform(),
+                                                                .read_instead = read_instead}});
 }
 
 void settings_exchange::tell_all() {
@@ -93,7 +112,13 @@
         return;
     }
     for (const auto& peer : this->compared_peers) {
-        this->tell(peer);
+        this->tell(peer, false);
+    }
+    const bool is_told =
+        this->reads_for && std::find(this->compared_peers.begin(), this->compared_peers.end(),
+                                     *this->reads_for) != this->compared_peers.end();
+    if (this->reads_for && !is_told) {
+        this->tell(*this->reads_for, false);
     }
 }
 
@@ -101,6 +126,85 @@
     return this->reader->active() && this->reader->platform_reachable();
 }
 
+void settings_exchange::on_platform_lost() {
+    if (this->is_reader) {
+        this->tell_all(); // others may wait for what this node reads
+        this->find_substitutes();
+    } else if (this->reads_for) {
+        this->end_reading_instead();
+    }
+}
+
+bool settings_exchange::needs_substitutes() const noexcept {
+    return this->is_reader && this->reader->active() && !this->reader->platform_reachable();
+}
+
+// Keeps the substitutes that read the platform. Without any, and while no other reader reaches it, asks the
+// next candidates.
+void settings_exchange::find_substitutes() {
+    if (!this->needs_substitutes()) {
+        this->substitutes.clear();
+        return;
+    }
+    const auto readers = this->comparisons.platform_readers(now_monotonic());
+    std::erase_if(this->substitutes, [&readers](const address& peer) {
+        return std::find(readers.begin(), readers.end(), peer) == readers.end();
+    });
+    auto next_check = tell_period;
+    if (readers.empty()) {
+        this->choose_next_substitutes();
+        next_check = this->next_substitute == 0 ? substitute_round_pause : substitute_response_time;
+    }
+    for (const auto& peer : this->substitutes) {
+        this->tell(peer, true);
+    }
+    this->substitute_timer.start_once(next_check);
+}
+
+void settings_exchange::choose_next_substitutes() {
+    const auto candidates = this->substitute_candidates();
+    this->substitutes.clear();
+    while (this->substitutes.size() < substitutes_at_once && this->next_substitute < candidates.size()) {
+        this->substitutes.push_back(candidates[this->next_substitute++]);
+    }
+    if (this->next_substitute >= candidates.size()) {
+        this->next_substitute = 0;
+    }
+    for (const auto& peer : this->substitutes) {
+        log_event(log_level::info, "substitute_asked", {{"peer", to_string(peer)}});
+    }
+}
+
+// The other hosts of the data centre, leaving ones last.
+std::vector<address> settings_exchange::substitute_candidates() const {
+    const auto& settings = this->context->settings;
+    std::vector<address> candidates;
+    std::vector<address> leaving;
+    for (const auto& [peer, host_entry] : this->tree->current()->hosts) {
+        if (peer != settings.reachable_at && host_entry.data_centre == settings.data_centre) {
+            (host_entry.leaving ? leaving : candidates).push_back(peer);
+        }
+    }
+    candidates.insert(candidates.end(), leaving.begin(), leaving.end());
+    return candidates;
+}
+
+void settings_exchange::begin_reading_for(const address& peer) {
+    const bool is_new = !this->reads_for;
+    this->reads_for = peer;
+    this->reading_expiry.start_once(reading_lease);
+    if (is_new) {
+        log_event(log_level::info, "reading_instead", {{"peer", to_string(peer)}});
+        this->reading_changed();
+    }
+}
+
+void settings_exchange::end_reading_instead() {
+    this->reads_for.reset();
+    this->reading_expiry.stop();
+    this->reading_changed();
+}
+
 bool settings_exchange::is_receiving() const noexcept {
     return this->last_part_at && now_monotonic() - *this->last_part_at < stalled_transfer;
 }
--- a/src/chervilturn/node/settings_exchange.hpp
+++ b/src/chervilturn/node/settings_exchange.hpp
@@ -1,4 +1,5 @@
-// Keeps the settings of nodes equal: compares them with peers and exchanges what differs.
+// Keeps the settings of nodes equal: compares them with peers, exchanges what differs, and lets another node
+// read the platform when this one cannot reach it.
 #pragma once
 
 #include "chervilturn/core/random.hpp"
@@ -16,11 +17,15 @@
 /// @brief Every second a node tells its parent a hash of its settings, and a reader also tells the first
 /// readers of the other data centres: at once when it has read a change. A node whose settings differ from
 /// what it is told exchanges them with the peer, in both directions.
+///
+/// A reader that reaches neither the platform nor a reader that does asks the other nodes of its data centre,
+/// two at a time, to read instead.
 class settings_exchange {
   public:
-    /// @brief The tree and the reader outlive the exchange.
+    /// @brief The tree and the reader outlive the exchange. The handler is called when this node begins or
+    /// ends to read for another one.
     settings_exchange(const node_context& shared, const settings_tree& own_tree,
-                      const settings_reader& own_reader);
+                      const settings_reader& own_reader, std::function<void()> on_reading_changed);
 
     void start();
 
@@ -33,11 +38,14 @@
     void on_compared(const comparison_received& message);
 
     /// @brief Compares again with a peer whose update was accepted.
-    void on_update_accepted(const address& peer) { this->tell(peer); }
+    void on_update_accepted(const address& peer) { this->tell(peer, false); }
 
     /// @brief Tells all peers at once that this node has read a change.
     void on_change_read();
 
+    /// @brief The platform cannot be reached.
+    void on_platform_lost();
+
     /// @brief A large update is arriving: what peers have is most likely in it.
     void on_update_part() noexcept { this->last_part_at = now_monotonic(); }
     void on_update() noexcept { this->last_part_at.reset(); }
@@ -52,25 +60,41 @@
     /// @brief Number of the latest request.
     [[nodiscard]] std::uint64_t last_request() const noexcept { return this->last_nonce; }
 
+    /// @brief Whether another node has asked this one to read the platform.
+    [[nodiscard]] bool reads_instead() const noexcept { return this->reads_for.has_value(); }
+
   private:
-    void tell(const address& peer);
+    void tell(const address& peer, bool read_instead);
     void tell_all();
     void exchange_due();
     void compare_with_random_peer();
+    void find_substitutes();
+    void choose_next_substitutes();
+    void begin_reading_for(const address& peer);
+    void end_reading_instead();
+    [[nodiscard]] bool needs_substitutes() const noexcept;
+    [[nodiscard]] std::vector<address> substitute_candidates() const;
     [[nodiscard]] bool reads_platform() const noexcept;
     [[nodiscard]] std::optional<address> random_host();
 
     const node_context* context;
     const settings_tree* tree;
     const settings_reader* reader;
+    std::function<void()> reading_changed;
     random_source random;
     peer_comparisons comparisons;
     std::vector<address> compared_peers;
+    bool is_reader = false; // by its position in the relay tree
     std::uint64_t last_nonce = 0;
     std::optional<instant> last_part_at; // of an update that is not complete yet
+    std::optional<address> reads_for;    // the peer that asked last
+    std::vector<address> substitutes;    // nodes that were asked last to read instead of this one
+    std::size_t next_substitute = 0;     // index of a candidate
     timer tell_timer;
     timer due_timer;
     timer random_timer;
+    timer substitute_timer;
+    timer reading_expiry;
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -11,20 +11,25 @@
 namespace {
 
 constexpr std::size_t parallel_reads = 4;
+// Beyond the time that the platform was asked to wait for a change.
+constexpr microseconds overdue_after = std::chrono::milliseconds{300};
 
 } // namespace
 
 settings_reader::settings_reader(const node_context& shared, std::unique_ptr<platform> watched_platform,
                                  const settings_tree& offered_tree, batch_handler on_batch)
     : context{&shared}, platform_client{std::move(watched_platform)}, tree{&offered_tree},
-      handler{std::move(on_batch)}, random{shared.incarnation}, watch_timer{*shared.loop,
-                                                                            [this] { this->watch(); }} {}
+      handler{std::move(on_batch)}, random{shared.incarnation},
+      watch_timer{*shared.loop, [this] { this->watch(); }}, overdue_timer{*shared.loop,
+                                                                          [this] { this->on_overdue(); }} {}
 
 void settings_reader::activate(microseconds max_delay) {
     if (this->is_active || this->platform_client == nullptr) {
         return;
     }
     this->is_active = true;
+    this->succeeded_since_activation = false;
+    this->failures = 0;
     const double share = this->random.uniform(0.0, 1.0);
     this->schedule(microseconds{static_cast<std::int64_t>(share * static_cast<double>(max_delay.count()))});
 }
@@ -49,6 +54,17 @@
         this->pending_reads = 0;
     }
     ++this->round;
+    this->overdue_timer.stop();
+}
+
+// The request goes on: a slow platform still answers it.
+void settings_reader::on_overdue() {
+    const bool was_reachable = this->platform_reachable();
+    this->is_overdue = true;
+    if (was_reachable && this->lost_handler) {
+        log_event(log_level::info, "platform_overdue", {{"read_revision", this->last_read_revision}});
+        this->lost_handler();
+    }
 }
 
 void settings_reader::watch() {
@@ -58,6 +74,7 @@
     // the present revision and that the platform can be reached.
     const auto wait =
         this->platform_reachable() ? this->context->settings.reading.wait : microseconds::zero();
+    this->overdue_timer.start_once(wait + overdue_after);
     this->platform_client->watch(this->last_read_revision, wait,
                                  [this, started_round](const result<watch_result, platform_error>& response) {
                                      this->on_watched(started_round, response);
@@ -75,6 +92,8 @@
         }
         return;
     }
+    this->overdue_timer.stop();
+    this->is_overdue = false;
     if (!succeeded(response)) {
         this->back_off(error_of(response));
         return;
@@ -138,7 +157,7 @@
 }
 
 void settings_reader::finish_batch() {
-    if (this->failures > 0 || !this->ever_succeeded) {
+    if (this->failures > 0 || !this->succeeded_since_activation) {
         log_event(log_level::info, "platform_reached",
                   {{"revision", this->current.revision}, {"failures_before", this->failures}});
     }
@@ -150,7 +169,7 @@
                    {"leaves", this->current.leaves.size()}});
     }
     this->failures = 0;
-    this->ever_succeeded = true;
+    this->succeeded_since_activation = true;
     this->last_read_revision = std::max(this->last_read_revision, this->current.revision);
     std::map<std::string, subtree_snapshot> snapshots;
     for (const auto& [subtree, revision] : this->current.subtree_revisions) {
@@ -192,6 +211,9 @@
     }
     ++this->failures;
     this->schedule(delay);
+    if (this->failures == 1 && this->lost_handler) {
+        this->lost_handler();
+    }
 }
 
 void settings_reader::schedule(microseconds delay) {
--- a/src/chervilturn/node/settings_reader.hpp
+++ b/src/chervilturn/node/settings_reader.hpp
@@ -24,6 +24,10 @@
     settings_reader(const node_context& context, std::unique_ptr<platform> watched_platform,
                     const settings_tree& tree, batch_handler handler);
 
+    /// @brief Sets a handler that is called when the platform cannot be reached: at the first failure after a
+    /// success or an activation, or when a response is overdue.
+    void on_platform_lost(std::function<void()> new_handler) { this->lost_handler = std::move(new_handler); }
+
     /// @brief Starts to watch after a random delay between zero and max_delay, so that the nodes of a fleet
     /// do not all start at once. Does nothing while it is active.
     void activate(microseconds max_delay);
@@ -37,9 +41,10 @@
 
     [[nodiscard]] bool active() const noexcept { return this->is_active; }
 
-    /// @brief Whether a batch was read and no request to the platform has failed since.
+    /// @brief Whether a batch was read since the activation and no request to the platform has failed or is
+    /// overdue.
     [[nodiscard]] bool platform_reachable() const noexcept {
-        return this->failures == 0 && this->ever_succeeded;
+        return this->failures == 0 && this->succeeded_since_activation && !this->is_overdue;
     }
 
     /// @brief The revision up to which all changes were read; 0 before the first batch.
@@ -63,6 +68,7 @@
     void reconcile();
     // Ignores the replies that are still expected.
     void abandon_request();
+    void on_overdue();
     void back_off(const platform_error& error);
     void schedule(microseconds delay);
 
@@ -70,10 +76,13 @@
     std::unique_ptr<platform> platform_client; // may be null
     const settings_tree* tree;
     batch_handler handler;
+    std::function<void()> lost_handler; // may be empty
     random_source random;
     timer watch_timer;
+    timer overdue_timer; // runs while a response is expected
+    bool is_overdue = false;
     bool is_active = false;
-    bool ever_succeeded = false;
+    bool succeeded_since_activation = false;
     std::uint32_t failures = 0;    // in a row
     std::uint64_t round = 0;       // number of the current watch request; replies of earlier ones are ignored
     std::size_t pending_reads = 0; // leaves of the current batch that are not read yet
