Bound the bytes of comparisons: a setting for their period, and pairs of first readers only

Cause: at the design size each of 18 readers told 9 others each second, and was told by up to 24: by arithmetic 33 messages of 27 B (130 B with headers and acknowledgements) and pings on 25 links, 7 to 8 KB/s against 5 KB/s. Ruled out: no pings on compared links (a silent connection would hide a difference). Only the first reader of a data centre compares with those of the others; its fellow readers compare with it. Figures: 90 told pairs among 18 readers (162 before), asserted by the relay tree's test; by arithmetic 4.0 KB/s for a first reader.

--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -58,6 +58,7 @@
     reading.readers_per_data_centre = static_cast<std::uint32_t>(
         reader.integer_or("readers_per_data_centre", {1, 1000}, reading.readers_per_data_centre));
     reading.fallback_start = reader.milliseconds_or("own_start_ms", {10, 60'000}, reading.fallback_start);
+    reading.compare_period = reader.milliseconds_or("compare_ms", {10, 60'000}, reading.compare_period);
     reading.parent_ping = reader.milliseconds_or("parent_ping_ms", {10, 60'000}, reading.parent_ping);
     reading.parent_suspect =
         reader.milliseconds_or("parent_suspect_ms", {20, 120'000}, reading.parent_suspect);
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -44,6 +44,7 @@
     microseconds pause = std::chrono::milliseconds{50}; // between two requests
     std::uint32_t readers_per_data_centre = 2;          // nodes that read; all others get settings from peers
     microseconds fallback_start = std::chrono::seconds{2}; // latest start when no seed sent settings
+    microseconds compare_period = std::chrono::seconds{2}; // of comparisons with the parent and other readers
     microseconds parent_ping = std::chrono::seconds{2};    // silence of the parent before it is pinged
     microseconds parent_suspect = std::chrono::seconds{3}; // and before its connection becomes suspect
 };
--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -1,5 +1,5 @@
-// Forward declarations of module membership: relay tree, connection health, pause detection, comparisons, delayed removal
-// of registrations, restored platforms and seed rotation.
+// Forward declarations of module membership: relay tree, connection health, pause detection, comparisons,
+// delayed removal of registrations, restored platforms and seed rotation.
 #pragma once
 
 namespace chervilturn {
--- a/src/chervilturn/membership/relay_tree.cpp
+++ b/src/chervilturn/membership/relay_tree.cpp
@@ -61,6 +61,15 @@
     }
 }
 
+// Called for a reader, whose parents are the first hosts of the other data centres and its fellow readers.
+void add_compared_readers(relay_position& position, const ranking& hosts, std::size_t rank) {
+    if (rank == 0) {
+        position.compared_readers = position.parents;
+    } else {
+        position.compared_readers = {hosts.front().peers};
+    }
+}
+
 [[nodiscard]] std::size_t rank_of(const ranking& hosts, const address& peers) {
     return static_cast<std::size_t>(
         std::find_if(hosts.begin(), hosts.end(),
@@ -116,6 +125,9 @@
     }
     add_ancestors(position, hosts, rank, readers);
     add_readers(position, hosts, rank, readers);
+    if (position.reader) {
+        add_compared_readers(position, hosts, rank);
+    }
     if (present_parent) {
         keep_parent(position, hosts, rank, readers, *present_parent);
     }
--- a/src/chervilturn/membership/relay_tree.hpp
+++ b/src/chervilturn/membership/relay_tree.hpp
@@ -15,6 +15,9 @@
 struct relay_position {
     bool reader = false;          // reads settings from the platform
     std::vector<address> parents; // peers to receive settings from, in order of preference
+    // Readers that a reader compares its settings with: the first one of a data centre with those of the
+    // others and with the further readers of its own, a further one with the first one.
+    std::vector<address> compared_readers;
 };
 
 /// @brief Computes a node's position. Nodes with the same host list compute the same tree, but for parents
--- a/src/chervilturn/node/settings_exchange.cpp
+++ b/src/chervilturn/node/settings_exchange.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr microseconds tell_period = std::chrono::seconds{1};
 constexpr microseconds due_check_delay = std::chrono::milliseconds{320}; // just over the time of an own read
 constexpr microseconds random_comparison_period = std::chrono::seconds{5};
 constexpr double local_data_centre_share = 0.75;                   // of comparisons with random hosts
@@ -17,15 +16,15 @@
 constexpr std::size_t substitutes_at_once = 2;
 constexpr microseconds substitute_response_time = std::chrono::milliseconds{250};
 constexpr microseconds substitute_round_pause = std::chrono::seconds{4}; // after all candidates failed
-constexpr microseconds reading_lease = std::chrono::seconds{3}; // after the last request to read instead
+constexpr int reading_lease_periods = 3; // of comparisons, after the last request to read instead
 
 } // namespace
 
 settings_exchange::settings_exchange(const node_context& shared, const settings_tree& own_tree,
                                      const settings_reader& own_reader,
                                      std::function<void()> on_reading_changed)
-    : context{&shared}, tree{&own_tree}, reader{&own_reader},
-      reading_changed{std::move(on_reading_changed)}, random{shared.incarnation},
+    : context{&shared}, tree{&own_tree}, reader{&own_reader}, reading_changed{std::move(on_reading_changed)},
+      random{shared.incarnation}, comparisons{{.recent = 5 * shared.settings.reading.compare_period / 2}},
       tell_timer{*shared.loop, [this] { this->tell_all(); }}, due_timer{*shared.loop,
                                                                         [this] { this->exchange_due(); }},
       random_timer{*shared.loop, [this] { this->compare_with_random_peer(); }},
@@ -33,7 +32,7 @@
       reading_expiry{*shared.loop, [this] { this->end_reading_instead(); }} {}
 
 void settings_exchange::start() {
-    this->tell_timer.start_periodic(tell_period);
+    this->tell_timer.start_periodic(this->context->settings.reading.compare_period);
     this->random_timer.start_periodic(random_comparison_period);
 }
 
@@ -41,7 +40,7 @@
                                      const std::optional<address>& followed_parent) {
     this->is_reader = position.reader;
     if (position.reader) {
-        this->compared_peers = position.parents;
+        this->compared_peers = position.compared_readers;
     } else if (followed_parent) {
         this->compared_peers = {*followed_parent};
     } else {
@@ -150,7 +149,7 @@
     std::erase_if(this->substitutes, [&readers](const address& peer) {
         return std::find(readers.begin(), readers.end(), peer) == readers.end();
     });
-    auto next_check = tell_period;
+    auto next_check = this->context->settings.reading.compare_period;
     if (readers.empty()) {
         this->choose_next_substitutes();
         next_check = this->next_substitute == 0 ? substitute_round_pause : substitute_response_time;
@@ -192,7 +191,7 @@
 void settings_exchange::begin_reading_for(const address& peer) {
     const bool is_new = !this->reads_for;
     this->reads_for = peer;
-    this->reading_expiry.start_once(reading_lease);
+    this->reading_expiry.start_once(reading_lease_periods * this->context->settings.reading.compare_period);
     if (is_new) {
         log_event(log_level::info, "reading_instead", {{"peer", to_string(peer)}});
         this->reading_changed();
--- a/src/chervilturn/node/settings_exchange.hpp
+++ b/src/chervilturn/node/settings_exchange.hpp
@@ -14,8 +14,8 @@
 
 namespace chervilturn {
 
-/// @brief Every second a node tells its parent a hash of its settings, and a reader also tells the first
-/// readers of the other data centres: at once when it has read a change. A node whose settings differ from
+/// @brief In every period a node tells its parent a hash of its settings; a reader tells other readers, also
+/// at once when it has read a change. A node whose settings differ from
 /// what it is told exchanges them with the peer, in both directions.
 ///
 /// A reader that reaches neither the platform nor a reader that does asks the other nodes of its data centre,
@@ -29,7 +29,8 @@
 
     void start();
 
-    /// @brief Sets the peers to compare with: the parents of a reader, the followed parent of another node.
+    /// @brief Sets the peers to compare with: other readers for a reader, the followed parent for other
+    /// nodes.
     void set_position(const relay_position& position, const std::optional<address>& followed_parent);
 
     /// @brief Asks the sender of a subscription for what it has and this node lacks.
--- a/test/chervilturn/membership/membership_test.cpp
+++ b/test/chervilturn/membership/membership_test.cpp
@@ -32,8 +32,10 @@
     std::map<address, std::size_t> followers;
     std::size_t readers = 0;
     std::size_t deepest = 0;
+    std::size_t compared_pairs = 0;
     for (const auto& [peers, host_entry] : settings.hosts) {
         const auto position = compute_relay_position(settings, peers, host_entry.data_centre);
+        compared_pairs += position.compared_readers.size();
         readers += position.reader ? 1 : 0;
         REQUIRE_FALSE(position.parents.empty());
         CHECK(std::find(position.parents.begin(), position.parents.end(), peers) == position.parents.end());
@@ -51,6 +53,7 @@
         deepest = std::max(deepest, depth);
     }
     CHECK(readers == 9 * readers_per_data_centre);
+    CHECK(compared_pairs == 9 * (8 + 1) + 9);
     CHECK(deepest <= 3);
     for (const auto& [parent, count] : followers) {
         CHECK(count <= relay_fan_out);
--- a/test/platform/settings_fleet_test.cpp
+++ b/test/platform/settings_fleet_test.cpp
@@ -115,6 +115,7 @@
                             .pause = 300ms,
                             .readers_per_data_centre = 1,
                             .fallback_start = 800ms,
+                            .compare_period = 1s,
                             .parent_ping = 600ms,
                             .parent_suspect = 1100ms};
         this->nodes[index] = std::make_unique<fleet_node>(this->loop, settings, this->store_addresses[index],
