--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -13,5 +13,6 @@
 struct connection_options;
 class connection_health;
 class seed_rotation;
+class substitute_search;
 
 } // namespace chervilturn
--- a/src/chervilturn/node/settings_exchange.cpp
+++ b/src/chervilturn/node/settings_exchange.cpp
@@ -13,7 +13,6 @@
 constexpr microseconds random_comparison_period = std::chrono::seconds{5};
 constexpr double local_data_centre_share = 0.75;                   // of comparisons with random hosts
 constexpr microseconds stalled_transfer = std::chrono::seconds{1}; // without a part
-constexpr std::size_t substitutes_at_once = 2;
 constexpr microseconds substitute_response_time = std::chrono::milliseconds{250};
 constexpr microseconds substitute_round_pause = std::chrono::seconds{4}; // after all candidates failed
 constexpr int reading_lease_periods = 3; // of comparisons, after the last request to read instead
@@ -138,39 +137,21 @@
     return this->is_reader && this->reader->active() && !this->reader->platform_reachable();
 }
 
-// Keeps the substitutes that read the platform. Without any, and while no other reader reaches it, asks the
-// next candidates.
 void settings_exchange::find_substitutes() {
     if (!this->needs_substitutes()) {
-        this->substitutes.clear();
+        this->substitutes.end();
         return;
     }
     const auto readers = this->comparisons.platform_readers(now_monotonic());
-    std::erase_if(this->substitutes, [&readers](const address& peer) {
-        return std::find(readers.begin(), readers.end(), peer) == readers.end();
-    });
-    auto next_check = this->context->settings.reading.compare_period;
-    if (readers.empty()) {
-        this->choose_next_substitutes();
-        next_check = this->next_substitute == 0 ? substitute_round_pause : substitute_response_time;
-    }
-    for (const auto& peer : this->substitutes) {
+    for (const auto& peer : this->substitutes.next(this->substitute_candidates(), readers)) {
+        log_event(log_level::info, "substitute_asked", {{"peer", to_string(peer)}});
         this->tell(peer, true);
     }
-    this->substitute_timer.start_once(next_check);
-}
-
-void settings_exchange::choose_next_substitutes() {
-    const auto candidates = this->substitute_candidates();
-    this->substitutes.clear();
-    while (this->substitutes.size() < substitutes_at_once && this->next_substitute < candidates.size()) {
-        this->substitutes.push_back(candidates[this->next_substitute++]);
-    }
-    if (this->next_substitute >= candidates.size()) {
-        this->next_substitute = 0;
-    }
-    for (const auto& peer : this->substitutes) {
-        log_event(log_level::info, "substitute_asked", {{"peer", to_string(peer)}});
+    if (!readers.empty()) {
+        this->substitute_timer.start_once(this->context->settings.reading.compare_period);
+    } else {
+        this->substitute_timer.start_once(this->substitutes.round_ended() ? substitute_round_pause
+                                                                          : substitute_response_time);
     }
 }
 
--- a/src/chervilturn/node/settings_exchange.hpp
+++ b/src/chervilturn/node/settings_exchange.hpp
@@ -5,6 +5,7 @@
 #include "chervilturn/core/random.hpp"
 #include "chervilturn/membership/peer_comparisons.hpp"
 #include "chervilturn/membership/relay_tree.hpp"
+#include "chervilturn/membership/substitute_search.hpp"
 #include "chervilturn/node/context.hpp"
 #include "chervilturn/node/messages.hpp"
 #include "chervilturn/node/settings_reader.hpp"
@@ -15,8 +16,8 @@
 namespace chervilturn {
 
 /// @brief In every period a node tells its parent a hash of its settings; a reader tells other readers, also
-/// at once when it has read a change. A node whose settings differ from
-/// what it is told exchanges them with the peer, in both directions.
+/// at once when it has read a change. A node whose settings differ from what it is told exchanges them with
+/// the peer, in both directions.
 ///
 /// A reader that reaches neither the platform nor a reader that does asks the other nodes of its data centre,
 /// two at a time, to read instead.
@@ -36,6 +37,7 @@
     /// @brief Asks the sender of a subscription for what it has and this node lacks.
     void on_subscribed(const peer_subscribed& message);
 
+    /// @brief A peer told which settings it has, and may have asked this node to read instead.
     void on_compared(const comparison_received& message);
 
     /// @brief Compares again with a peer whose update was accepted.
@@ -55,6 +57,7 @@
     /// @brief A subscription for what is newer than this node's settings.
     [[nodiscard]] subscription new_request(bool follow);
 
+    /// @brief Asks a peer once for what is newer than this node's settings.
     void ask(const address& peer);
     void ask_random_peer();
 
@@ -70,7 +73,6 @@
     void exchange_due();
     void compare_with_random_peer();
     void find_substitutes();
-    void choose_next_substitutes();
     void begin_reading_for(const address& peer);
     void end_reading_instead();
     [[nodiscard]] bool needs_substitutes() const noexcept;
@@ -89,8 +91,7 @@
     std::uint64_t last_nonce = 0;
     std::optional<instant> last_part_at; // of an update that is not complete yet
     std::optional<address> reads_for;    // the peer that asked last
-    std::vector<address> substitutes;    // nodes that were asked last to read instead of this one
-    std::size_t next_substitute = 0;     // index of a candidate
+    substitute_search substitutes;
     timer tell_timer;
     timer due_timer;
     timer random_timer;
