Read the platform after one period without a parent

What callers saw: requests run by the service that a route had left, and 404 on routes that exist, up to 5 s after a change, from hosts that were in touch (CONFIG), while the node that reads the store for their data centre was frozen or without power. Cause: the way from a parent's silence to an own reading was a chain of stages (silence, replacement connection, pause, next parent, random delay of up to 3 s), none of which knew the bound of 2.5 s for their sum. Besides, calls and questions to the parent restarted the measurement of its silence. Change: parent_watch gives one period, parent_suspect, for all that is tried meanwhile; the node then reads the platform until a parent responds. Subscriptions measure silence apart from calls. apply_ms states the bound, and settings whose stages don't fit it are refused. Log lines: parent_unheard, platform_reading_started, platform_reading_ended. Why it works: the period starts when the parent was last heard, and nothing restarts it but a response; at most the tree's fan-out, four nodes, follow one parent.

--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+// Longest time from the failure of a node's parent being noticed until the node has read all of the platform:
+// the random delay of the start, a new connection and the pages.
+constexpr microseconds own_reading_allowance = std::chrono::milliseconds{500};
+// Longest time from the end of a reader's wait for the platform until another node has read it instead.
+constexpr microseconds substitute_allowance = std::chrono::milliseconds{1000};
 constexpr std::int64_t hour_in_milliseconds = 3'600'000;
 // Between the end of the grace time and the kill, for the process to end by itself.
 constexpr microseconds kill_margin = std::chrono::milliseconds{500};
@@ -31,6 +36,10 @@
            kill_margin;
 }
 
+[[nodiscard]] std::string milliseconds_text(microseconds span) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) + " ms";
+}
+
 [[nodiscard]] node_limits read_limits(object_reader& reader) {
     node_limits limits;
     limits.max_header_bytes = static_cast<std::size_t>(reader.integer_or(
@@ -79,6 +88,19 @@
     return allowance;
 }
 
+// A change must be in force in time also when the parent of a node, or a reader's connection to the platform,
+// fails at the moment of the change.
+void check_apply_time(object_reader& reader, const reading_options& reading) {
+    if (reading.parent_suspect + own_reading_allowance > reading.apply) {
+        reader.reject("parent_suspect_ms",
+                      "at least " + milliseconds_text(own_reading_allowance) + " less than apply_ms");
+    }
+    if (reading.pause + reading.wait + substitute_allowance > reading.apply) {
+        reader.reject("wait_ms", "with pause_ms at least " + milliseconds_text(substitute_allowance) +
+                                     " less than apply_ms");
+    }
+}
+
 [[nodiscard]] reading_options read_reading(object_reader& reader) {
     reading_options reading;
     reading.wait = reader.milliseconds_or("wait_ms", {0, 30'000}, reading.wait);
@@ -93,6 +115,8 @@
     if (reading.parent_ping >= reading.parent_suspect) {
         reader.reject("parent_ping_ms", "less than parent_suspect_ms");
     }
+    reading.apply = reader.milliseconds_or("apply_ms", {10, hour_in_milliseconds}, reading.apply);
+    check_apply_time(reader, reading);
     return reading;
 }
 
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -55,7 +55,9 @@
     microseconds fallback_start = std::chrono::seconds{2}; // latest start when no seed sent settings
     microseconds compare_period = std::chrono::seconds{2}; // of comparisons with the parent and other readers
     microseconds parent_ping = std::chrono::seconds{2};    // silence of the parent before it is pinged
-    microseconds parent_suspect = std::chrono::seconds{3}; // and before its connection becomes suspect
+    // Silence before its connection becomes suspect and the node reads the platform itself.
+    microseconds parent_suspect = std::chrono::seconds{3};
+    microseconds apply = std::chrono::seconds{19}; // by when a change must be in force at every node
 };
 
 /// @brief Contents of a node's settings file.
--- a/src/chervilturn/membership/connection_health.hpp
+++ b/src/chervilturn/membership/connection_health.hpp
@@ -43,7 +43,7 @@
 };
 
 /// @brief What is waiting for messages on a connection.
-enum class connection_demand { subscription, calls };
+enum class connection_demand { subscription, calls, calls_and_subscription };
 
 /// @brief What the user of a connection should do next.
 enum class connection_advice { nothing, ping, open_replacement };
@@ -63,8 +63,18 @@
     void on_failed() noexcept { this->machine.apply(connection_event::failed); }
     void on_replaced() noexcept { this->machine.apply(connection_event::replaced); }
 
-    /// @brief A call was sent while none was outstanding: restarts the measurement of silence.
-    void on_first_outstanding(instant now) noexcept;
+    /// @brief A call was sent while none was outstanding: restarts the measurement of silence for calls. A
+    /// subscription that waits on the connection keeps its own: frequent calls do not hide that the peer is
+    /// silent.
+    void on_first_outstanding(instant now) noexcept { this->calls = {.since = now}; }
+
+    /// @brief A subscription or comparisons begin to wait: restarts the measurement of silence for them.
+    void on_first_subscribed(instant now) noexcept { this->subscription = {.since = now}; }
+
+    /// @brief How long nothing was received while a subscription waited.
+    [[nodiscard]] microseconds subscription_silence(instant now) const noexcept {
+        return elapsed(this->subscription.since, now);
+    }
 
     /// @brief Returns what to do about the silence so far. Must be called on every tick while something is
     /// waiting on the connection. Each ping and each replacement is requested once.
@@ -73,10 +83,21 @@
     [[nodiscard]] connection_state state() const noexcept { return this->machine.state(); }
 
   private:
+    struct silence {
+        instant since;
+        bool ping_sent = false; // since then
+    };
+
+    // Whether the silence is so long that the connection becomes suspect, or so long that it is pinged.
+    [[nodiscard]] static bool is_overdue(const silence& observed, const keepalive_limits& limits,
+                                         instant now) noexcept;
+    [[nodiscard]] static bool begin_ping(silence& observed, const keepalive_limits& limits,
+                                         instant now) noexcept;
+
     connection_options options;
     connection_machine machine;
-    instant last_activity;
-    bool ping_sent = false; // since the last activity
+    silence calls;        // for outstanding calls
+    silence subscription; // for a subscription or comparisons
 };
 
 } // namespace chervilturn
--- a/src/chervilturn/membership/fwd.hpp
+++ b/src/chervilturn/membership/fwd.hpp
@@ -1,5 +1,6 @@
-// Forward declarations of module membership: relay tree, connection health, pause detection, comparisons,
-// delayed removal of registrations, restored platforms and seed rotation.
+// Forward declarations of module membership: relay tree, connection health, pause detection, watch
+// of the followed parent, comparisons, delayed removal of registrations, restored platforms and seed
+// rotation.
 #pragma once
 
 namespace chervilturn {
@@ -12,6 +13,7 @@
 class restored_copy;
 struct connection_options;
 class connection_health;
+class parent_watch;
 class seed_rotation;
 class substitute_search;
 
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -13,21 +13,24 @@
 constexpr microseconds seed_retry_period = std::chrono::milliseconds{100}; // while the node has no settings
 constexpr double min_fallback_share = 0.25; // earliest fallback start, as a share of the latest one
 constexpr microseconds reader_start_spread = std::chrono::milliseconds{20};
-constexpr microseconds fallback_reader_spread = std::chrono::seconds{3}; // after all parents have failed
+// Of the nodes that followed the same parent: at most as many as the fan-out of the relay tree.
+constexpr microseconds own_reading_spread = std::chrono::milliseconds{100};
 constexpr microseconds max_follow_delay = std::chrono::milliseconds{500};
 constexpr std::size_t peers_asked_when_stale = 3;
 
 } // namespace
 
 control_task::control_task(const node_context& shared)
-    : context{&shared}, followers{shared, this->tree}, random{shared.incarnation},
-      seeds{shared.settings.seeds, shared.settings.reachable_at, shared.incarnation},
+    : context{&shared}, parent_silence{shared.settings.reading.parent_suspect}, followers{shared, this->tree},
+      random{shared.incarnation}, seeds{shared.settings.seeds, shared.settings.reachable_at,
+                                        shared.incarnation},
       reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings), this->tree,
              [this](const std::vector<subtree_snapshot>& batch) { this->on_batch(batch); }},
       exchange{shared, this->tree, this->reader, [this] { this->update_reading(); }},
       fallback_start{*shared.loop, [this] { this->read_if_empty(); }},
       seed_retry{*shared.loop, [this] { this->ask_seeds_if_empty(); }},
       follow_retry{*shared.loop, [this] { this->follow_next_parent(); }},
+      own_reading_start{*shared.loop, [this] { this->read_without_parent(); }},
       stale_expiry{*shared.loop, [this] { this->confirm("patience"); }} {
     this->reader.on_platform_lost([this] { this->exchange.on_platform_lost(); });
     shared.mailboxes->control.on_message([this](control_message&& received) {
@@ -84,8 +87,7 @@
         this->exchange.on_update_accepted(message.peer);
     }
     if (this->followed_parent == message.peer) {
-        this->parent_responded = true;
-        this->update_reading();
+        this->on_parent_responded();
     }
     if (this->stale && message.update.nonce > this->stale_nonce) {
         this->confirm("peer");
@@ -109,11 +111,19 @@
     log_event(log_level::warn, "parent_lost", {{"peer", to_string(message.peer)}});
     this->followed_parent.reset();
     this->parent_responded = false;
+    this->on_parent_unheard(microseconds::zero());
     const double share = this->random.uniform(0.5, 1.0);
     this->follow_retry.start_once(
         microseconds{static_cast<std::int64_t>(share * static_cast<double>(max_follow_delay.count()))});
 }
 
+void control_task::handle(const peer_silent& message) {
+    if (this->followed_parent == message.peer) {
+        this->parent_responded = false;
+        this->on_parent_unheard(message.silent_for);
+    }
+}
+
 void control_task::handle(const describe_request& request) {
     auto subtrees = nlohmann::json::object();
     for (const auto& entry : this->tree.digest()) {
@@ -247,19 +257,44 @@
     log_event(log_level::info, "parent_followed", {{"peer", to_string(peer)}});
     this->followed_parent = peer;
     this->parent_responded = false;
+    this->on_parent_unheard(microseconds::zero());
     this->exchange.set_position(this->position, this->followed_parent);
     this->context->mailboxes->peer_client.post(send_subscription{peer, this->exchange.new_request(true)});
 }
 
-// Once every parent has failed, the node reads the platform itself and keeps trying the parents.
+// A reader needs no parent to know the newest settings.
+void control_task::on_parent_unheard(microseconds unheard_for) {
+    if (this->position.reader) {
+        return;
+    }
+    const auto now = now_monotonic();
+    this->parent_silence.on_unheard(now - unheard_for);
+    if (!this->reader.active()) {
+        const auto due = this->parent_silence.own_reading_due();
+        this->own_reading_start.start_once(std::max(microseconds::zero(), elapsed(now, *due)));
+    }
+}
+
+void control_task::on_parent_responded() {
+    this->parent_responded = true;
+    this->parent_silence.on_responded();
+    this->own_reading_start.stop();
+    this->update_reading();
+}
+
+// The node goes on trying its parents, and stops reading when one of them responds.
+void control_task::read_without_parent() {
+    log_event(log_level::warn, "parent_unheard",
+              {{"peer", this->followed_parent ? to_string(*this->followed_parent) : std::string{"none"}},
+               {"unheard_us", this->parent_silence.unheard_for(now_monotonic()).count()}});
+    this->reader.activate(own_reading_spread);
+}
+
 void control_task::follow_next_parent() {
     if (this->followed_parent || this->position.parents.empty()) {
         return;
     }
     this->parent_index = (this->parent_index + 1) % this->position.parents.size();
-    if (this->parent_index == 0) {
-        this->reader.activate(fallback_reader_spread);
-    }
     this->follow(this->position.parents[this->parent_index]);
 }
 
--- a/src/chervilturn/node/control_task.hpp
+++ b/src/chervilturn/node/control_task.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chervilturn/core/random.hpp"
+#include "chervilturn/membership/parent_watch.hpp"
 #include "chervilturn/membership/relay_tree.hpp"
 #include "chervilturn/membership/seed_rotation.hpp"
 #include "chervilturn/node/context.hpp"
@@ -32,6 +33,7 @@
     void handle(const update_part_received& message);
     void handle(const peer_reconnected& message);
     void handle(const peer_lost& message);
+    void handle(const peer_silent& message);
     void handle(const comparison_received& message);
     void handle(const describe_request& request);
 
@@ -43,6 +45,9 @@
     void update_reading();
     void follow(const address& peer);
     void follow_next_parent();
+    void on_parent_unheard(microseconds unheard_for);
+    void on_parent_responded();
+    void read_without_parent();
     void mark_stale();
     void read_if_empty();
     void ask_seeds_if_empty();
@@ -56,6 +61,7 @@
     std::size_t parent_index = 0;           // in position.parents, of the parent tried last
     std::optional<address> followed_parent; // empty while there is none or its connection is lost
     bool parent_responded = false;          // an update has arrived from followed_parent
+    parent_watch parent_silence;
     settings_followers followers;
     random_source random;
     seed_rotation seeds;
@@ -67,6 +73,7 @@
     timer fallback_start;
     timer seed_retry;
     timer follow_retry;
+    timer own_reading_start; // runs while no parent is heard
     timer stale_expiry;
 };
 
--- a/src/chervilturn/node/messages.hpp
+++ b/src/chervilturn/node/messages.hpp
@@ -201,6 +201,12 @@
     address peer;
 };
 
+/// @brief Nothing is received from a followed peer. Its connection is being replaced.
+struct peer_silent {
+    address peer;
+    microseconds silent_for{};
+};
+
 /// @brief A peer told which settings it has.
 struct comparison_received {
     address peer;
@@ -208,9 +214,9 @@
 };
 
 /// @brief Messages to the control task.
-using control_message =
-    std::variant<settings_stale, peer_subscribed, part_received, peer_unsubscribed, update_received,
-                 update_part_received, peer_reconnected, peer_lost, comparison_received, describe_request>;
+using control_message = std::variant<settings_stale, peer_subscribed, part_received, peer_unsubscribed,
+                                     update_received, update_part_received, peer_reconnected, peer_lost,
+                                     peer_silent, comparison_received, describe_request>;
 
 /// @brief The backend server of this host crashed.
 struct backend_crashed {
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -73,10 +73,10 @@
 
 void peer_client_task::handle(const send_subscription& request) {
     auto& target = this->link_to(request.peer);
-    target.followed = target.followed || request.request.follow;
-    if (!target.in_demand() || target.outstanding.empty()) {
-        target.health.on_first_outstanding(now_monotonic());
+    if (!target.is_subscribed()) {
+        target.health.on_first_subscribed(now_monotonic());
     }
+    target.followed = target.followed || request.request.follow;
     this->send_on(target, request.request);
 }
 
@@ -108,8 +108,8 @@
 void peer_client_task::handle(const send_comparison& request) {
     const auto now = now_monotonic();
     auto& target = this->link_to(request.peer);
-    if (!target.in_demand()) {
-        target.health.on_first_outstanding(now);
+    if (!target.is_subscribed()) {
+        target.health.on_first_subscribed(now);
     }
     target.compared = true;
     target.last_compared_at = now;
@@ -140,6 +140,13 @@
     request.reply(std::move(links_json));
 }
 
+connection_demand peer_client_task::link::demand() const noexcept {
+    if (this->outstanding.empty()) {
+        return connection_demand::subscription;
+    }
+    return this->is_subscribed() ? connection_demand::calls_and_subscription : connection_demand::calls;
+}
+
 connection_options peer_client_task::health_options() const {
     const auto& reading = this->context->settings.reading;
     return {.with_subscription = {reading.parent_ping, reading.parent_suspect}};
@@ -196,6 +203,11 @@
     log_event(log_level::warn, "connection_suspect",
               {{"peer", to_string(target.peer)}, {"outstanding", target.outstanding.size()}});
     target.replacement_opened_at = now_monotonic();
+    if (target.followed) {
+        const bool ended = target.current->is_closed();
+        this->context->mailboxes->control.post(peer_silent{
+            target.peer, ended ? microseconds::zero() : target.health.subscription_silence(now_monotonic())});
+    }
     target.replacement_generation = ++this->last_generation;
     target.replacement = this->open_connection(target, target.replacement_generation);
 }
@@ -454,9 +466,7 @@
         }
         return;
     }
-    const auto demand =
-        target.outstanding.empty() ? connection_demand::subscription : connection_demand::calls;
-    switch (target.health.advise(demand, now)) {
+    switch (target.health.advise(target.demand(), now)) {
     case connection_advice::ping:
         this->send_on(target, ping{});
         break;
--- a/src/chervilturn/node/peer_client_task.hpp
+++ b/src/chervilturn/node/peer_client_task.hpp
@@ -52,8 +52,13 @@
 
         /// @brief Whether an attempt, a subscription or comparisons need the connection.
         [[nodiscard]] bool in_demand() const noexcept {
-            return !this->outstanding.empty() || this->followed || this->compared;
+            return !this->outstanding.empty() || this->is_subscribed();
         }
+
+        /// @brief Whether a subscription or comparisons need the connection.
+        [[nodiscard]] bool is_subscribed() const noexcept { return this->followed || this->compared; }
+
+        [[nodiscard]] connection_demand demand() const noexcept;
     };
 
     void handle(send_attempt&& request);
--- a/src/chervilturn/node/settings_reader.cpp
+++ b/src/chervilturn/node/settings_reader.cpp
@@ -31,10 +31,14 @@
     this->succeeded_since_activation = false;
     this->failures = 0;
     const double share = this->random.uniform(0.0, 1.0);
+    log_event(log_level::info, "platform_reading_started", {{"read_revision", this->last_read_revision}});
     this->schedule(microseconds{static_cast<std::int64_t>(share * static_cast<double>(max_delay.count()))});
 }
 
 void settings_reader::deactivate() {
+    if (this->is_active) {
+        log_event(log_level::info, "platform_reading_ended", {{"read_revision", this->last_read_revision}});
+    }
     this->is_active = false;
     this->abandon_request();
     this->watch_timer.stop();
--- a/test/chervilturn/membership/membership_test.cpp
+++ b/test/chervilturn/membership/membership_test.cpp
@@ -1,5 +1,6 @@
 // Relay trees, connection health and pause detection.
 #include "chervilturn/membership/connection_health.hpp"
+#include "chervilturn/membership/parent_watch.hpp"
 #include "chervilturn/membership/pause_detector.hpp"
 #include "chervilturn/membership/relay_tree.hpp"
 
@@ -144,6 +145,62 @@
     }
 }
 
+// Guards against a node that goes on with old settings: its calls to a frozen parent hid the parent's
+// silence.
+TEST_CASE("calls do not hide the silence of a peer that is subscribed to") {
+    const instant start{1s};
+    const connection_options options{.with_subscription = {600ms, 1100ms}};
+    connection_health health{options, start};
+    health.on_connected(start);
+    const auto begin_calls_every = [&](microseconds period, instant until) {
+        for (auto now = start; now < until; now += period) {
+            health.on_first_outstanding(now);
+            const auto advice = health.advise(connection_demand::calls_and_subscription, now);
+            REQUIRE(advice != connection_advice::open_replacement);
+        }
+    };
+    SECTION("however often calls begin") {
+        begin_calls_every(100ms, start + 1100ms);
+        CHECK(health.advise(connection_demand::calls_and_subscription, start + 1100ms) ==
+              connection_advice::open_replacement);
+    }
+    SECTION("nor does the silence before a call count against the call") {
+        CHECK(health.advise(connection_demand::subscription, start + 600ms) == connection_advice::ping);
+        health.on_first_outstanding(start + 700ms);
+        CHECK(health.advise(connection_demand::calls_and_subscription, start + 1000ms) ==
+              connection_advice::ping);
+        health.on_received(start + 1050ms);
+        CHECK(health.advise(connection_demand::calls_and_subscription, start + 1200ms) ==
+              connection_advice::nothing);
+    }
+}
+
+TEST_CASE("a node without a responding parent reads the platform after one period of patience") {
+    const instant start{1s};
+    parent_watch watch{1100ms};
+    CHECK_FALSE(watch.own_reading_due());
+    watch.on_unheard(start);
+    CHECK(watch.own_reading_due() == start + 1100ms);
+
+    SECTION("further attempts and other parents do not prolong it") {
+        watch.on_unheard(start + 500ms);
+        watch.on_unheard(start + 900ms);
+        CHECK(watch.own_reading_due() == start + 1100ms);
+        CHECK(watch.unheard_for(start + 900ms) == 900ms);
+    }
+    SECTION("the silence before it was noticed counts") {
+        watch.on_unheard(start - 300ms);
+        CHECK(watch.own_reading_due() == start + 800ms);
+    }
+    SECTION("it ends when a parent responds, and the next silence counts anew") {
+        watch.on_responded();
+        CHECK_FALSE(watch.own_reading_due());
+        CHECK(watch.unheard_for(start + 2s) == 0us);
+        watch.on_unheard(start + 3s);
+        CHECK(watch.own_reading_due() == start + 4100ms);
+    }
+}
+
 TEST_CASE("a pause is detected at the first event after it") {
     const instant start{1s};
     pause_detector pauses{start};
--- a/test/platform/settings_fleet_test.cpp
+++ b/test/platform/settings_fleet_test.cpp
@@ -1,5 +1,5 @@
 // Several nodes in one process, connected over loopback, whose settings must equal the store's within a
-// bound: whatever the store did meanwhile and whichever nodes cannot reach it.
+// bound: whatever the store did meanwhile, whichever nodes cannot reach it and whichever are frozen.
 #include "chervilturn/node/control_task.hpp"
 #include "chervilturn/node/peer_client_task.hpp"
 #include "chervilturn/node/peer_server_task.hpp"
@@ -10,6 +10,7 @@
 #include "support/raw_peer.hpp"
 
 #include <catch2/catch.hpp>
+#include <event2/event.h>
 #include <nlohmann/json.hpp>
 
 namespace chervilturn::adapter {
@@ -25,17 +26,19 @@
 // The content of each subtree.
 using contents = std::map<std::string, std::uint64_t>;
 
-// The tasks of a node that spread settings; the others only receive.
+// The tasks of a node that spread settings; the others only receive. They run on a loop of their own, within
+// the loop of the fleet, so that a node can be frozen: the kernel still accepts its connections.
 class fleet_node {
   public:
-    fleet_node(event_loop& loop, const node_settings& settings, const address& store_address,
+    fleet_node(event_loop& fleet_loop, const node_settings& settings, const address& store_address,
                std::uint64_t incarnation)
-        : mailboxes{loop}, context{.loop = &loop,
-                                   .settings = settings,
-                                   .incarnation = incarnation,
-                                   .stats = &this->stats,
-                                   .protocols = {},
-                                   .mailboxes = &this->mailboxes} {
+        : mailboxes{this->loop}, context{.loop = &this->loop,
+                                         .settings = settings,
+                                         .incarnation = incarnation,
+                                         .stats = &this->stats,
+                                         .protocols = {},
+                                         .mailboxes = &this->mailboxes},
+          turn{fleet_loop, [this] { event_base_loop(this->loop.base(), EVLOOP_NONBLOCK); }} {
         this->mailboxes.entry.on_message([](entry_message&&) {});
         this->mailboxes.owner.on_message([](owner_message&&) {});
         this->mailboxes.crash_reports.on_message([](crash_reports_message&&) {});
@@ -48,8 +51,12 @@
         this->peer_server = std::make_unique<peer_server_task>(this->context);
         REQUIRE(succeeded(this->peer_server->start()));
         this->control->start();
+        this->wake();
     }
 
+    void freeze() noexcept { this->turn.stop(); }
+    void wake() { this->turn.start_periodic(1ms); }
+
     // Asks the control task for its state; the reply comes while the loop runs.
     void request_description() {
         this->mailboxes.control.post(
@@ -71,6 +78,7 @@
     }
 
   private:
+    event_loop loop;
     metrics stats;
     node_mailboxes mailboxes;
     node_context context;
@@ -78,6 +86,7 @@
     std::unique_ptr<control_task> control;
     std::unique_ptr<peer_client_task> peer_client;
     std::unique_ptr<peer_server_task> peer_server;
+    timer turn;
 };
 
 // The store, and nodes that are spread over data centres in turn.
@@ -153,17 +162,31 @@
         }
     }
 
+    // A frozen node counts as out of touch: it need not have the settings of the store.
+    void freeze(std::size_t index) {
+        this->nodes[index]->freeze();
+        this->frozen.insert(index);
+    }
+
+    void wake(std::size_t index) {
+        this->nodes[index]->wake();
+        this->frozen.erase(index);
+    }
+
     // Whether all nodes have the settings of the store at a moment within the time limit.
     [[nodiscard]] bool converges(microseconds time_limit) {
         const auto stored = this->stored_contents();
         return test::wait_for(
             this->loop,
             [&] {
-                for (const auto& node : this->nodes) {
-                    node->request_description();
+                bool all_equal = true;
+                for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+                    if (!this->frozen.contains(index)) {
+                        this->nodes[index]->request_description();
+                        all_equal = all_equal && this->nodes[index]->settings_contents() == stored;
+                    }
                 }
-                return std::all_of(this->nodes.begin(), this->nodes.end(),
-                                   [&](const auto& node) { return node->settings_contents() == stored; });
+                return all_equal;
             },
             time_limit);
     }
@@ -193,6 +216,19 @@
         return std::nullopt;
     }
 
+    // The nodes that read the platform, as they said last; asks them again.
+    [[nodiscard]] std::set<std::size_t> platform_readers() {
+        std::set<std::size_t> found;
+        for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+            this->nodes[index]->request_description();
+            const auto& description = this->nodes[index]->description();
+            if (description.is_object() && description["reader"] == true) {
+                found.insert(index);
+            }
+        }
+        return found;
+    }
+
     [[nodiscard]] static std::string server_key(std::size_t index) {
         return "servers/i-" + std::to_string(index);
     }
@@ -242,6 +278,7 @@
     std::map<std::string, std::string> data_centres;
     std::vector<address> store_addresses; // by node
     std::vector<std::unique_ptr<fleet_node>> nodes;
+    std::set<std::size_t> frozen;
     std::uint64_t version = 0;
     std::uint64_t last_incarnation = 0;
 };
@@ -269,6 +306,39 @@
     }
 }
 
+// Guards against old routes in force after their bound (CONFIG) while a data centre's reading node is frozen:
+// its followers read the store only after several stages whose times added up to 5 s.
+TEST_CASE("followers have a change in time although their reading node is frozen", "[settings_fleet]") {
+    constexpr std::size_t node_count = 8;
+    fleet_of_nodes fleet{2};
+    for (std::size_t index = 0; index < node_count; ++index) {
+        fleet.add_node();
+    }
+    REQUIRE(fleet.converges(10s));
+    REQUIRE(test::wait_for(fleet.loop, [&] { return fleet.platform_readers().size() == 2; }));
+    const auto readers = fleet.platform_readers();
+    // How long a reader has been frozen when the change comes.
+    const auto frozen_before = GENERATE(0ms, 500ms, 1000ms);
+    CAPTURE(frozen_before.count());
+    for (const auto* service : {"s2", "s1"}) {
+        for (const auto reader : readers) {
+            fleet.freeze(reader);
+        }
+        static_cast<void>(test::wait_for(
+            fleet.loop, [] { return false; }, frozen_before));
+        fleet.publish_routes({service});
+        const bool in_time = fleet.converges(apply_bound);
+        CAPTURE(in_time ? std::string{} : fleet.differences());
+        CHECK(in_time);
+        for (const auto reader : readers) {
+            fleet.wake(reader);
+        }
+        REQUIRE(fleet.converges(apply_bound));
+        // The followers leave the reading to the readers again.
+        REQUIRE(test::wait_for(fleet.loop, [&] { return fleet.platform_readers() == readers; }));
+    }
+}
+
 TEST_CASE("the settings of all nodes equal the store's within the bound, whatever each of them missed",
           "[settings_fleet]") {
     constexpr std::size_t node_count = 9;
