Keep the largest body the largest while it arrives

Cause: found while reading: a share could shrink by the bytes of its head when its body was counted anew. Of two bodies of nearly the same length each could then wait for the other until their calls' time ended, since only the largest goes on. Change: a share does not shrink before its body is complete.

--- a/src/chervilturn/core/byte_budget.cpp
+++ b/src/chervilturn/core/byte_budget.cpp
@@ -68,13 +68,13 @@
     this->budget->call_waiting();
 }
 
-byte_grant byte_share::resize(std::size_t bytes) {
-    const auto grant =
-        bytes <= this->held ? byte_grant::granted : this->budget->decide(*this, bytes - this->held);
+byte_grant byte_share::grow_to(std::size_t bytes) {
+    const auto further = bytes > this->held ? bytes - this->held : 0;
+    const auto grant = further == 0 ? byte_grant::granted : this->budget->decide(*this, further);
     this->is_waiting = grant == byte_grant::wait;
     if (grant == byte_grant::granted) {
-        this->budget->used_bytes += bytes - this->held;
-        this->held = bytes;
+        this->budget->used_bytes += further;
+        this->held += further;
     }
     return grant;
 }
--- a/src/chervilturn/core/byte_budget.hpp
+++ b/src/chervilturn/core/byte_budget.hpp
@@ -68,8 +68,9 @@
     byte_share& operator=(const byte_share&) = delete;
     ~byte_share();
 
-    /// @brief Asks to hold this many bytes in all; fewer than now is always granted.
-    [[nodiscard]] byte_grant resize(std::size_t bytes);
+    /// @brief Asks to hold this many bytes in all. A share never shrinks before its body is complete: the
+    /// largest one stays the largest, so that the others do not wait for one that waits for them.
+    [[nodiscard]] byte_grant grow_to(std::size_t bytes);
 
     /// @brief The body is complete, with this many bytes.
     void complete(std::size_t bytes);
--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -129,7 +129,7 @@
             this->held = std::make_shared<byte_share>(*this->client->options.bodies,
                                                       [owner = this->client] { owner->room.signal(); });
         }
-        const auto grant = this->held->resize(expected);
+        const auto grant = this->held->grow_to(expected);
         this->set_paused(grant == byte_grant::wait);
         if (grant == byte_grant::refused) {
             this->fail(http_failure::no_room);
