Keep the pausing of reading in one place, the stream

Cause: the HTTP client and the HTTP server each kept whether they had paused reading, and each decided by it whether to pause or go on: twins that the bound on bodies had left. byte_share::size() had no user.

Change: http_stream::set_reading_paused() and reading_paused(); both twins and size() are gone. No change in behaviour is meant.

--- a/src/chervilturn/core/byte_budget.hpp
+++ b/src/chervilturn/core/byte_budget.hpp
@@ -75,8 +75,6 @@
     /// @brief The body is complete, with this many bytes.
     void complete(std::size_t bytes);
 
-    [[nodiscard]] std::size_t size() const noexcept { return this->held; }
-
   private:
     friend class byte_budget;
 
--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -82,7 +82,7 @@
 
     /// @brief Reads on if reading has paused for lack of room.
     void retry_reading() {
-        if (this->paused && this->is_open()) {
+        if (this->reading_paused() && this->is_open()) {
             this->on_readable();
         }
     }
@@ -130,20 +130,13 @@
                                                       [owner = this->client] { owner->room.signal(); });
         }
         const auto grant = this->held->grow_to(expected);
-        this->set_paused(grant == byte_grant::wait);
+        this->set_reading_paused(grant == byte_grant::wait);
         if (grant == byte_grant::refused) {
             this->fail(http_failure::no_room);
         }
         return grant == byte_grant::granted;
     }
 
-    void set_paused(bool pauses) {
-        if (pauses != this->paused) {
-            this->paused = pauses;
-            pauses ? this->pause_reading() : this->resume_reading();
-        }
-    }
-
     void on_read(read_status status) {
         if (status == read_status::complete) {
             this->on_response();
@@ -227,7 +220,6 @@
     http_client::exchange* current_exchange = nullptr; // null while idle
     std::uint32_t discarded_responses = 0;             // since the request was sent
     std::shared_ptr<byte_share> held; // of the body that is being read; null while it is short
-    bool paused = false;              // reading waits for room in the budget
     bool connected = false;
     bool must_close = false;           // must not carry another request
     std::set<std::string> carried_ids; // of the requests on this connection
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -75,7 +75,7 @@
         if (this->lingering_since) {
             return elapsed(*this->lingering_since, now) >= max_linger && this->unwritten() == 0;
         }
-        if (this->reading_paused && this->peer_has_shut_down()) {
+        if (this->reading_paused() && this->peer_has_shut_down()) {
             return true;
         }
         return this->pipeline.empty() && !this->reading_since &&
@@ -208,11 +208,7 @@
             evbuffer_drain(this->input(), evbuffer_get_length(this->input()));
             this->reading_since.reset();
         }
-        const bool pauses = evbuffer_get_length(this->input()) > max_read_ahead;
-        if (pauses != this->reading_paused) {
-            this->reading_paused = pauses;
-            pauses ? this->pause_reading() : this->resume_reading();
-        }
+        this->set_reading_paused(evbuffer_get_length(this->input()) > max_read_ahead);
     }
 
     // Closing at once would reset the connection if unread input arrives, and the client could lose the
@@ -254,8 +250,7 @@
     std::optional<instant> lingering_since;              // after the last response
     instant request_arrived{};                           // first byte of the request that is being read
     bool continue_sent = false;                          // for the request that is being read
-    bool reading_paused = false;
-    bool advancing = false; // advance is running
+    bool advancing = false;                              // advance is running
 };
 
 } // namespace internal
--- a/src/chervilturn/transport/http_stream.cpp
+++ b/src/chervilturn/transport/http_stream.cpp
@@ -94,12 +94,16 @@
     shutdown(bufferevent_getfd(this->stream), SHUT_WR);
 }
 
-void http_stream::pause_reading() noexcept {
-    bufferevent_disable(this->stream, EV_READ);
-}
-
-void http_stream::resume_reading() noexcept {
-    bufferevent_enable(this->stream, EV_READ);
+void http_stream::set_reading_paused(bool pauses) noexcept {
+    if (pauses == this->is_paused) {
+        return;
+    }
+    this->is_paused = pauses;
+    if (pauses) {
+        bufferevent_disable(this->stream, EV_READ);
+    } else {
+        bufferevent_enable(this->stream, EV_READ);
+    }
 }
 
 void http_stream::on_event(short event_flags) {
--- a/src/chervilturn/transport/http_stream.hpp
+++ b/src/chervilturn/transport/http_stream.hpp
@@ -49,8 +49,10 @@
 
     /// @brief Shuts down the sending direction of the connection. Reading continues.
     void shutdown_writing() noexcept;
-    void pause_reading() noexcept;
-    void resume_reading() noexcept;
+
+    /// @brief Pauses reading, or goes on with it.
+    void set_reading_paused(bool pauses) noexcept;
+    [[nodiscard]] bool reading_paused() const noexcept { return this->is_paused; }
 
     virtual void on_connected() {}
     virtual void on_readable() = 0;
@@ -61,6 +63,7 @@
     void on_event(short event_flags);
 
     bufferevent* stream; // null once closed
+    bool is_paused = false;
 };
 
 } // namespace chervilturn::internal
