Review: cut watches hold back the removal of a backend beyond drain_ms

Cause: the adapter takes a watch that the store cut for a failure of the store and keeps removed backends for 2.3 s after the next answer, and notices the end of that time only with a later answer.

--- a/review/stand_ins-2/fleet.cpp
+++ b/review/stand_ins-2/fleet.cpp
@@ -16,13 +16,13 @@
 
 using nlohmann::json;
 
-constexpr auto heartbeat_period = std::chrono::milliseconds{1500};
 constexpr auto poll_period = std::chrono::milliseconds{20};
 constexpr auto start_timeout = std::chrono::seconds{15};
 constexpr int first_port = 20'000; // below the kernel's range of ephemeral ports
 constexpr int port_range = 10'000;
 constexpr int ports_of_host = 5; // callers, peers, operators, backend, store
 constexpr int network_count = 200;
+constexpr std::size_t first_unused_host = 200; // last part of addresses of hosts that are gone
 
 struct location {
     const char* zone;
@@ -68,10 +68,6 @@
 }
 
 fleet::~fleet() {
-    this->stopping = true;
-    if (this->heartbeats.joinable()) {
-        this->heartbeats.join();
-    }
     for (auto& host : this->host_list) {
         if (host.node != 0) {
             kill(host.node, SIGKILL);
@@ -116,6 +112,7 @@
 }
 
 bool fleet::start(const deployment& configured) {
+    this->stale_seeds = configured.stale_seeds;
     if (!this->choose_addresses() || !this->store.start(this->store_address)) {
         return false;
     }
@@ -125,17 +122,9 @@
         }
     }
     this->configure(configured);
-    this->register_backends();
-    this->heartbeats = std::thread{[this] {
-        auto next = steady_clock::now() + heartbeat_period;
-        while (!this->stopping) {
-            std::this_thread::sleep_for(poll_period);
-            if (steady_clock::now() >= next) {
-                next += heartbeat_period;
-                this->register_backends();
-            }
-        }
-    }};
+    for (const auto& host : this->host_list) {
+        this->register_backend(host);
+    }
     for (auto& host : this->host_list) {
         this->start_node(host);
     }
@@ -148,19 +137,16 @@
     return true;
 }
 
-void fleet::register_backends() {
-    static std::atomic<int> sequence = 0;
-    for (const auto& host : this->host_list) {
-        const auto& backend = host.backend->server_options();
-        const json entry{{"address", to_string(backend.address)},
-                         {"info",
-                          {{"service", backend.service},
-                           {"config_version", "v1"},
-                           {"zone", host.zone},
-                           {"slots", backend.slots}}},
-                         {"status", {{"state", "ready"}, {"seq", ++sequence}, {"cold_left_ms", 0}}}};
-        this->store.put("servers/" + backend.id, entry.dump());
-    }
+void fleet::register_backend(const fleet_host& host) {
+    const auto& backend = host.backend->server_options();
+    const json entry{{"address", to_string(backend.address)},
+                     {"info",
+                      {{"service", backend.service},
+                       {"config_version", "v1"},
+                       {"zone", host.zone},
+                       {"slots", backend.slots}}},
+                     {"status", {{"state", "ready"}, {"seq", ++this->sequence}, {"cold_left_ms", 0}}}};
+    this->store.put("servers/" + backend.id, entry.dump());
 }
 
 void fleet::configure(const deployment& configured) {
@@ -199,7 +185,11 @@
     auto text = contents.str();
     std::string seeds;
     for (std::size_t index = 0; index < std::min<std::size_t>(3, this->host_list.size()); ++index) {
-        seeds += (index > 0 ? "," : "") + quoted(to_string(this->host_list[index].peers));
+        auto seed = this->host_list[index].peers;
+        if (this->stale_seeds) {
+            seed.ip = seed.ip.substr(0, seed.ip.rfind('.')) + '.' + std::to_string(first_unused_host + index);
+        }
+        seeds += (index > 0 ? "," : "") + quoted(to_string(seed));
     }
     std::string zones;
     for (const auto& listed : locations) {
--- a/review/stand_ins-2/fleet.hpp
+++ b/review/stand_ins-2/fleet.hpp
@@ -33,6 +33,7 @@
     std::vector<route_row> routes;
     std::vector<std::string> services;
     client_limits limits;
+    bool stale_seeds = false; // the seeds of the nodes' settings are addresses that no node has any more
 };
 
 /// @brief A host with its backend and its node.
@@ -68,6 +69,10 @@
     /// @brief Writes a configuration with the next version.
     void configure(const deployment& configured);
 
+    /// @brief Writes the entry of a host's backend. The pages say that an entry changes when more than `seq`
+    /// does, so backends that stay as they are write nothing more.
+    void register_backend(const fleet_host& host);
+
     void start_node(fleet_host& host);
     void signal_node(const fleet_host& host, int number);
 
@@ -82,7 +87,6 @@
   private:
     [[nodiscard]] bool choose_addresses();
     [[nodiscard]] std::string settings(const fleet_host& host) const;
-    void register_backends();
 
     record_file* record;
     std::string folder;
@@ -91,8 +95,8 @@
     endpoint store_address;
     std::vector<fleet_host> host_list;
     int version = 0;
-    std::atomic<bool> stopping = false;
-    std::thread heartbeats;
+    bool stale_seeds = false;
+    int sequence = 0; // of entries
 };
 
 } // namespace review
--- a/review/stand_ins-2/store.cpp
+++ b/review/stand_ins-2/store.cpp
@@ -98,8 +98,12 @@
             response.body = this->range(after);
         } else if (target.starts_with("/kv-watch?")) {
             const auto wait = std::atoi(parameter(target, "wait_ms").c_str());
-            response.body =
+            auto changes =
                 this->watch(std::strtoull(after.c_str(), nullptr, 10), std::chrono::milliseconds{wait});
+            if (!changes) {
+                return;
+            }
+            response.body = std::move(*changes);
         } else {
             response.start_line = "HTTP/1.1 404 Not Found";
         }
@@ -124,9 +128,24 @@
         .dump();
 }
 
-std::string metadata_store::watch(std::uint64_t after, std::chrono::milliseconds wait) {
+int metadata_store::cut_watches() {
+    const std::lock_guard lock{this->guard};
+    ++this->cuts;
+    this->changed.notify_all();
+    return this->waiting;
+}
+
+std::optional<std::string> metadata_store::watch(std::uint64_t after, std::chrono::milliseconds wait) {
     std::unique_lock lock{this->guard};
-    this->changed.wait_for(lock, wait, [this, after] { return this->stopping || this->revision > after; });
+    const auto cuts_before = this->cuts;
+    ++this->waiting;
+    this->changed.wait_for(lock, wait, [this, after, cuts_before] {
+        return this->stopping || this->cuts > cuts_before || this->revision > after;
+    });
+    --this->waiting;
+    if (this->cuts > cuts_before) {
+        return std::nullopt;
+    }
     auto events = json::array();
     for (const auto& known : this->changes) {
         if (known.revision <= after) {
--- a/review/stand_ins-2/store.hpp
+++ b/review/stand_ins-2/store.hpp
@@ -25,6 +25,9 @@
     /// @brief Removes an item if it exists.
     void remove(const std::string& key);
 
+    /// @brief Closes the connections of all watches that are waiting; returns their number.
+    int cut_watches();
+
   private:
     struct item {
         std::string value;
@@ -40,7 +43,8 @@
 
     void serve(http_connection& connection);
     [[nodiscard]] std::string range(const std::string& after);
-    [[nodiscard]] std::string watch(std::uint64_t after, std::chrono::milliseconds wait);
+    // Nothing when the watch is cut.
+    [[nodiscard]] std::optional<std::string> watch(std::uint64_t after, std::chrono::milliseconds wait);
 
     http_listener listener;
     std::mutex guard;
@@ -48,6 +52,8 @@
     std::map<std::string, item> items;
     std::vector<change> changes;
     std::uint64_t revision = 1;
+    std::uint64_t cuts = 0; // calls of cut_watches
+    int waiting = 0;        // watches
     bool stopping = false;
 };
 
