Review: a cold rate below one request a second is taken for no limit

Cause: the adapter cuts the fraction off cold_per_s; 0 means no limit. Changed: case review/8; the stand-in for backends can be cold and fall over, and leaves its running requests unanswered when it ends.

--- a/review/stand_ins-2/backend.cpp
+++ b/review/stand_ins-2/backend.cpp
@@ -56,6 +56,18 @@
     this->options.extra_late_share = share;
 }
 
+void backend_server::become_cold(std::chrono::milliseconds duration, std::size_t most) {
+    const std::lock_guard lock{this->guard};
+    this->cold_from = steady_clock::now();
+    this->cold_until = this->cold_from + duration;
+    this->most_cold_runs = most;
+}
+
+std::optional<time_point> backend_server::fell_over() {
+    const std::lock_guard lock{this->guard};
+    return this->fell_over_at;
+}
+
 std::vector<backend_run> backend_server::runs() {
     const std::lock_guard lock{this->guard};
     return this->started_runs;
@@ -66,6 +78,9 @@
     std::string extra; // a copy of the previous response
     while (connection.read(request, steady_clock::now() + keep_connection) == read_end::complete) {
         const auto text = message_text(this->respond(request));
+        if (this->stopping) { // it ends with its running requests unanswered
+            return;
+        }
         if (!extra.empty()) {
             this->record->write(this->options.id + " sends again, before its response to " +
                                 request.target() + " of " + request.header("Chervilturn-Request-Id") + ": " +
@@ -122,6 +137,12 @@
                           .headers = {{"Chervilturn-Instance-Id", this->options.id}},
                           .body = {}};
     this->add_load(response);
+    const std::lock_guard lock{this->guard};
+    const auto cold_left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->cold_until - steady_clock::now());
+    if (cold_left.count() > 0) {
+        response.headers.emplace_back("Chervilturn-Cold-Ms", std::to_string(cold_left.count()));
+    }
     return response;
 }
 
@@ -130,14 +151,22 @@
     const auto target = request.target();
     {
         const std::lock_guard lock{this->guard};
-        this->started_runs.push_back(
-            {.request_id = id, .backend = this->options.id, .at = steady_clock::now()});
+        const auto now = steady_clock::now();
+        this->started_runs.push_back({.request_id = id, .backend = this->options.id, .at = now});
+        const auto recent = std::count_if(
+            this->started_runs.begin(), this->started_runs.end(), [this, now](const backend_run& started) {
+                return started.at >= this->cold_from && started.at > now - std::chrono::seconds{1};
+            });
+        if (now<this->cold_until&& static_cast<std::size_t>(recent)> this->most_cold_runs &&
+            !this->fell_over_at) {
+            this->fell_over_at = now;
+        }
     }
     this->record->write(this->options.id + " runs " + id);
     const auto end = steady_clock::now() + std::chrono::milliseconds{path_number(target, 1)};
     {
         std::unique_lock lock{this->guard};
-        this->slot_freed.wait_until(lock, std::min(end, deadline), [this] { return this->stopping; });
+        this->slot_freed.wait_until(lock, std::min(end, deadline), [this] { return this->stopping.load(); });
     }
     http_message response{
         .start_line = end <= deadline ? "HTTP/1.1 200 OK" : "HTTP/1.1 504 Gateway Timeout",
--- a/review/stand_ins-2/backend.hpp
+++ b/review/stand_ins-2/backend.hpp
@@ -45,6 +45,13 @@
     /// @brief Sets the share of responses that are sent again, late.
     void set_extra_late_share(double share);
 
+    /// @brief Is cold from now on, as its health path tells, and ends when more than `most` requests begin to
+    /// run in one second of that time.
+    void become_cold(std::chrono::milliseconds duration, std::size_t most);
+
+    /// @brief When it ended because it got too many requests while it was cold; nothing when it did not.
+    [[nodiscard]] std::optional<time_point> fell_over();
+
     [[nodiscard]] std::vector<backend_run> runs();
     [[nodiscard]] const backend_options& server_options() const noexcept { return this->options; }
 
@@ -67,8 +74,12 @@
     std::condition_variable slot_freed;
     int running = 0;
     int waiting = 0;
-    bool stopping = false;
+    std::atomic<bool> stopping = false;
     std::vector<backend_run> started_runs;
+    time_point cold_from;
+    time_point cold_until;
+    std::size_t most_cold_runs = 0; // in one second
+    std::optional<time_point> fell_over_at;
     std::mt19937 random;
 };
 
--- a/review/stand_ins-2/fleet.cpp
+++ b/review/stand_ins-2/fleet.cpp
@@ -39,7 +39,6 @@
 constexpr const char* cold_slack = "5";
 constexpr const char* config_apply_ms = "2500";
 constexpr double cold_start_s = 3.0;
-constexpr double cold_per_s = 35.0;
 
 void replace_all(std::string& text, const std::string& from, const std::string& to) {
     for (auto found = text.find(from); found != std::string::npos;
@@ -158,7 +157,7 @@
     }
     auto services = json::array();
     for (const auto& name : configured.services) {
-        services.push_back({name, "/health", 260, cold_start_s, cold_per_s});
+        services.push_back({name, "/health", 260, cold_start_s, configured.cold_per_s});
     }
     const json config{{"config_version", ++this->version},
                       {"routes",
--- a/review/stand_ins-2/fleet.hpp
+++ b/review/stand_ins-2/fleet.hpp
@@ -33,6 +33,7 @@
     std::vector<route_row> routes;
     std::vector<std::string> services;
     client_limits limits;
+    double cold_per_s = 35.0;
     bool stale_seeds = false; // the seeds of the nodes' settings are addresses that no node has any more
 };
 
