Accept each leaf of the users' configuration alone

Cause: a subtree was accepted or refused as a whole. The logs show it: configuration_read, platform_read, then settings_rejected for one member of one route, and nothing in force. The users' store accepts only valid configurations, and a node that starts has no last revision to stay on.

Change: protocols choose the unit of acceptance. On the users' platform a leaf that cannot be read is part of the accepted state, so that nodes agree and pass it on; the compiled model keeps its last content, or none. A route without one is compiled without a service, so that its calls get 503 and no shorter prefix takes them. A log line, a gauge and the status page name the leaf. The project's own platform accepts subtrees as a whole, as before.

Why it works: nothing of a version waits for another leaf of it any more.

--- a/src/chervilturn/config/host_compiler.cpp
+++ b/src/chervilturn/config/host_compiler.cpp
@@ -38,7 +38,9 @@
 } // namespace
 
 result<host_map, settings_error> host_compiler::compile(const leaf_changes& changes) {
-    if (auto error = this->leaves.update(changes, read_hosts)) {
+    if (this->acceptance == subtree_acceptance::each_leaf) {
+        this->leaves.update_each(changes, read_hosts, [](const leaf&) { return std::nullopt; });
+    } else if (auto error = this->leaves.update(changes, read_hosts)) {
         return std::move(*error);
     }
     host_map hosts;
--- a/src/chervilturn/config/object_reader.hpp
+++ b/src/chervilturn/config/object_reader.hpp
@@ -21,6 +21,8 @@
     std::string path;     // JSON path from the root, such as "backend_servers[2].slots", or "(root)"
     std::string value;    // the offending value as JSON, "absent", or words such as "the text"
     std::string expected; // description of a valid value
+
+    [[nodiscard]] bool operator==(const settings_error&) const = default;
 };
 
 /// @brief Formats an error as one line.
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -126,31 +126,48 @@
     return parsed;
 }
 
-// The first route of a table that leads to a service which the team does not have.
-[[nodiscard]] std::optional<settings_error> check_references(const team& compiled_team) {
-    const auto check = [&compiled_team](const route& checked,
-                                        const std::string& target) -> std::optional<settings_error> {
+// The first service of a route which the team does not have.
+[[nodiscard]] std::optional<settings_error> check_reference(const team& compiled_team, const route& checked) {
+    const auto check = [&](const std::string& target) -> std::optional<settings_error> {
         if (compiled_team.services.contains(target)) {
             return std::nullopt;
         }
         return settings_error{"teams/" + compiled_team.name + "/routes/" + checked.name, "service",
                               '"' + target + '"', "a service of the team"};
     };
-    for (const auto& [name, checked] : compiled_team.routes->by_name) {
-        if (checked->split.empty()) {
-            if (auto error = check(*checked, checked->service)) {
-                return error;
-            }
+    if (checked.split.empty()) {
+        return check(checked.service);
+    }
+    for (const auto& part : checked.split) {
+        if (auto error = check(part.service)) {
+            return error;
         }
-        for (const auto& part : checked->split) {
-            if (auto error = check(*checked, part.service)) {
-                return error;
-            }
+    }
+    return std::nullopt;
+}
+
+// The first route of a table that leads to a service which the team does not have.
+[[nodiscard]] std::optional<settings_error> check_references(const team& compiled_team) {
+    for (const auto& [name, checked] : compiled_team.routes->by_name) {
+        if (auto error = check_reference(compiled_team, *checked)) {
+            return error;
         }
     }
     return std::nullopt;
 }
 
+// All routes of a table that lead to a service which the team does not have.
+[[nodiscard]] unreadable_leaves find_broken_references(const team& compiled_team) {
+    unreadable_leaves found;
+    for (const auto& [name, checked] : compiled_team.routes->by_name) {
+        if (auto error = check_reference(compiled_team, *checked)) {
+            auto path = error->source;
+            found.emplace(std::move(path), unreadable_leaf{.error = std::move(*error)});
+        }
+    }
+    return found;
+}
+
 [[nodiscard]] bool has_all_services_of(const team& other, const team& checked) {
     return std::all_of(other.services.begin(), other.services.end(),
                        [&checked](const auto& named) { return checked.services.contains(named.first); });
@@ -222,16 +239,57 @@
     return std::move(*content);
 }
 
+std::optional<team_compiler::leaf_content> team_compiler::stand_in_for(const std::string& team_name,
+                                                                       const leaf& source) {
+    const auto path = split_team_path(team_name, source.path);
+    const auto json = parse_json(source.value, json_comments::allowed);
+    if (path.kind != "routes" || path.name.empty() || !json.is_object()) {
+        return std::nullopt;
+    }
+    object_reader reader{json, source.path, ""};
+    auto withheld = std::make_shared<route>();
+    withheld->name = path.name;
+    withheld->host = reader.text("host");
+    withheld->prefix = reader.text("prefix");
+    if (withheld->host.empty() || !withheld->prefix.starts_with('/')) {
+        return std::nullopt;
+    }
+    return std::shared_ptr<const route>{std::move(withheld)};
+}
+
+unreadable_leaves team_compiler::unreadable() const {
+    auto found = this->leaves.unreadable();
+    found.insert(this->broken_references.begin(), this->broken_references.end());
+    return found;
+}
+
+bool team_compiler::may_break_references(const team& next) const {
+    return next.routes != this->last_valid.routes || !has_all_services_of(this->last_valid, next);
+}
+
+team team_compiler::compile_each(const std::string& name, const leaf_changes& changes) {
+    this->leaves.update_each(
+        changes, [&name](const leaf& source) { return team_compiler::read(name, source); },
+        [&name](const leaf& source) { return team_compiler::stand_in_for(name, source); });
+    auto next = this->assemble(name);
+    if (!this->broken_references.empty() || this->may_break_references(next)) {
+        this->broken_references = find_broken_references(next);
+    }
+    return next;
+}
+
 result<team, settings_error> team_compiler::compile(const std::string& name, const leaf_changes& changes) {
+    if (this->acceptance == subtree_acceptance::each_leaf) {
+        this->last_valid = this->compile_each(name, changes);
+        return this->last_valid;
+    }
     const auto error = this->leaves.update(
         changes, [&name](const leaf& source) { return team_compiler::read(name, source); });
     if (error) {
         return *error;
     }
     auto next = this->assemble(name);
-    const bool may_break_references =
-        next.routes != this->last_valid.routes || !has_all_services_of(this->last_valid, next);
-    if (may_break_references) {
+    if (this->may_break_references(next)) {
         if (const auto reference_error = check_references(next)) {
             this->leaves.undo();
             return *reference_error;
--- a/src/chervilturn/config/tree.cpp
+++ b/src/chervilturn/config/tree.cpp
@@ -152,6 +152,14 @@
     return updates;
 }
 
+unreadable_leaves settings_tree::unreadable() const {
+    auto found = this->hosts.unreadable();
+    for (const auto& [name, compiler] : this->teams) {
+        found.merge(compiler.unreadable());
+    }
+    return found;
+}
+
 const leaf* settings_tree::offered(const std::string& path) const {
     const auto state = this->states.find(subtree_of(path));
     return state == this->states.end() ? nullptr : find_leaf(state->second, state->second.not_accepted, path);
@@ -305,7 +313,8 @@
         next_model->hosts = value_of(std::move(hosts));
         next_model->hosts_revision = revision;
     } else {
-        auto compiled_team = this->teams[subtree].compile(subtree, changes);
+        auto& compiler = this->teams.try_emplace(subtree, this->acceptance).first->second;
+        auto compiled_team = compiler.compile(subtree, changes);
         if (!succeeded(compiled_team)) {
             return error_of(compiled_team);
         }
--- a/src/chervilturn/config/tree.hpp
+++ b/src/chervilturn/config/tree.hpp
@@ -68,9 +68,15 @@
 
 /// @brief Accepted state of the whole tree. Accepted revisions and the versions of leaves never decrease, and
 /// a rejected subtree does not affect the others.
+///
+/// When each leaf is accepted alone, also one that cannot be read is part of the accepted state, so that
+/// nodes agree on the settings and pass them on, whatever each of them can read. Only the compiled model
+/// lacks it.
 class settings_tree {
   public:
-    settings_tree() = default;
+    settings_tree() : settings_tree{subtree_acceptance::whole} {}
+    explicit settings_tree(subtree_acceptance leaf_acceptance)
+        : acceptance{leaf_acceptance}, hosts{leaf_acceptance} {}
     settings_tree(const settings_tree&) = delete; // states refer to their own leaves
     settings_tree& operator=(const settings_tree&) = delete;
     settings_tree(settings_tree&&) = default;
@@ -109,6 +115,9 @@
     /// @brief The compiled model of all accepted subtrees; never null.
     [[nodiscard]] const std::shared_ptr<const model>& current() const noexcept { return this->compiled; }
 
+    /// @brief Leaves of the accepted state that cannot be read; none when subtrees are accepted as a whole.
+    [[nodiscard]] unreadable_leaves unreadable() const;
+
     /// @brief Last rejection by subtree; removed when a later candidate of the subtree is accepted.
     [[nodiscard]] const std::map<std::string, subtree_rejection>& rejections() const noexcept {
         return this->rejected;
@@ -151,6 +160,7 @@
     [[nodiscard]] std::optional<settings_error>
     compile(const std::string& subtree, const leaf_changes& changes, revision_number revision);
 
+    subtree_acceptance acceptance;
     std::map<std::string, subtree_state> states;
     std::uint64_t last_change = 0;
     std::map<std::string, team_compiler> teams; // by name
--- a/src/chervilturn/node/control_task.cpp
+++ b/src/chervilturn/node/control_task.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 control_task::control_task(const node_context& shared)
-    : context{&shared}, parent_silence{shared.settings.reading.parent_suspect}, followers{shared, this->tree},
+    : context{&shared}, tree{shared.protocols.acceptance},
+      parent_silence{shared.settings.reading.parent_suspect}, followers{shared, this->tree},
       random{shared.incarnation}, seeds{shared.settings.seeds, shared.settings.reachable_at,
                                         shared.incarnation},
       reader{shared, shared.protocols.make_platform(*shared.loop, shared.settings), this->tree,
@@ -136,7 +137,12 @@
         subtrees[name]["rejected_revision"] = rejection.revision;
         subtrees[name]["rejected_because"] = to_string(rejection.error);
     }
+    auto unreadable_paths = nlohmann::json::object();
+    for (const auto& [path, found] : this->unreadable) {
+        unreadable_paths[path] = {{"because", to_string(found.error)}, {"keeps_last", found.keeps_last}};
+    }
     request.reply({{"subtrees", std::move(subtrees)},
+                   {"unreadable_leaves", std::move(unreadable_paths)},
                    {"reader", this->reader.active()},
                    {"platform_reached", this->reader.platform_reachable()},
                    {"followed", this->followed_parent ? to_string(*this->followed_parent) : std::string{}},
@@ -170,6 +176,27 @@
     }
 }
 
+// Logs the leaves that have become unreadable or readable since the last report.
+void control_task::report_unreadable() {
+    auto present = this->tree.unreadable();
+    for (const auto& [path, found] : present) {
+        const auto known = this->unreadable.find(path);
+        if (known == this->unreadable.end() || known->second != found) {
+            log_event(log_level::error, "settings_leaf_unreadable",
+                      {{"path", path},
+                       {"error", to_string(found.error)},
+                       {"in_force", found.keeps_last ? "last" : "none"}});
+        }
+    }
+    for (const auto& [path, found] : this->unreadable) {
+        if (!present.contains(path)) {
+            log_event(log_level::info, "settings_leaf_readable", {{"path", path}});
+        }
+    }
+    this->unreadable = std::move(present);
+    this->context->stats->gauges().unreadable_leaves = this->unreadable.size();
+}
+
 bool control_task::offer_all(const std::vector<subtree_snapshot>& snapshots, const std::string& source) {
     bool any_accepted = false;
     auto& counters = this->context->stats->counters();
@@ -212,6 +239,7 @@
 }
 
 void control_task::publish() {
+    this->report_unreadable();
     const auto& settings = this->tree.current();
     this->context->mailboxes->entry.post(settings_changed{settings});
     this->context->mailboxes->owner.post(settings_changed{settings});
--- a/src/chervilturn/node/control_task.hpp
+++ b/src/chervilturn/node/control_task.hpp
@@ -40,6 +40,7 @@
     void on_batch(const std::vector<subtree_snapshot>& batch);
     [[nodiscard]] bool offer_all(const std::vector<subtree_snapshot>& snapshots, const std::string& source);
     void update_gauges();
+    void report_unreadable();
     void publish();
     void update_position();
     void update_reading();
@@ -57,6 +58,7 @@
 
     const node_context* context;
     settings_tree tree;
+    unreadable_leaves unreadable; // of the tree, as reported
     relay_position position;
     std::size_t parent_index = 0;           // in position.parents, of the parent tried last
     std::optional<address> followed_parent; // empty while there is none or its connection is lost
--- a/src/chervilturn/node/protocol.hpp
+++ b/src/chervilturn/node/protocol.hpp
@@ -2,6 +2,7 @@
 // one implementation; an adapter for a platform provides others.
 #pragma once
 
+#include "chervilturn/config/leaf_cache.hpp"
 #include "chervilturn/config/node_settings.hpp"
 #include "chervilturn/node/platform.hpp"
 #include "chervilturn/node/server_statement.hpp"
@@ -146,6 +147,7 @@
     std::shared_ptr<const caller_protocol> callers;
     std::shared_ptr<const backend_protocol> backend;
     platform_maker make_platform; // may return null when no platform is configured
+    subtree_acceptance acceptance = subtree_acceptance::whole; // of what the platform publishes
 };
 
 /// @brief The native protocols, as docs/PLATFORM.md describes them.
--- a/src/chervilturn/observe/metrics.cpp
+++ b/src/chervilturn/observe/metrics.cpp
@@ -232,6 +232,7 @@
 void metrics::write_gauges(std::string& text) const {
     const auto& gauges = this->gauge_values;
     write_gauge(text, "settings_revision", static_cast<double>(gauges.settings_revision));
+    write_gauge(text, "settings_unreadable_leaves", static_cast<double>(gauges.unreadable_leaves));
     if (gauges.settings_confirmed_at != instant{}) {
         write_gauge(text, "settings_age_seconds",
                     to_seconds(monotonic_clock::now() - gauges.settings_confirmed_at));
--- a/src/chervilturn/observe/metrics.hpp
+++ b/src/chervilturn/observe/metrics.hpp
@@ -83,6 +83,7 @@
     std::uint64_t requests_held = 0;      // because they crashed backend servers
     std::uint64_t requests_suspected = 0; // that ran at a crash and were not completed since
     std::uint64_t settings_revision = 0;  // newest revision of the current settings
+    std::uint64_t unreadable_leaves = 0;  // of the current settings; without effect at this node
     instant settings_confirmed_at{}; // when the platform or a peer last sent all that is newer; epoch: never
     std::uint64_t followers = 0;     // nodes that subscribe to the settings of this one
     std::uint64_t peers_connected = 0;
--- /dev/null
+++ b/test/platform/configuration_in_force_test.cpp
@@ -0,0 +1,212 @@
+// What a node has in force of the configurations that the operator writes, when a value in them is unusual or
+// cannot be read.
+#include "chervilturn/node/control_task.hpp"
+
+#include "platform/adapter.hpp"
+#include "platform/callers.hpp"
+#include "platform/store_stand_in.hpp"
+#include "platform/translation.hpp"
+#include "support/raw_peer.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace chervilturn::adapter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr const char* route_host = "a.example";
+
+json table(const json& columns, const json& rows) {
+    return {{"columns", columns}, {"rows", rows}};
+}
+
+json route_row(const std::string& name, const std::string& prefix, const json& service) {
+    return {{"name", name},
+            {"host", route_host},
+            {"path_prefix", prefix},
+            {"route_type", "safe"},
+            {"timeout_ms", 1500},
+            {"target_latency_ms", 500},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2},
+            {"allowed_regions", json::array()},
+            {"traffic_split", nullptr}};
+}
+
+json service_row(const std::string& name) {
+    return {{"name", name}, {"health_path", "/health"}, {"cold_start_s", 3.0}, {"cold_per_s", 8.6}};
+}
+
+// A table of the configuration from rows that are objects with equal members.
+json table_of(const json& rows) {
+    auto columns = json::array();
+    for (const auto& [name, value] : rows.front().items()) {
+        columns.push_back(name);
+    }
+    auto lists = json::array();
+    for (const auto& row : rows) {
+        auto values = json::array();
+        for (const auto& name : columns) {
+            values.push_back(row.at(name.get<std::string>()));
+        }
+        lists.push_back(values);
+    }
+    return table(columns, lists);
+}
+
+// A configuration, by its rows.
+struct configuration {
+    json routes = json::array(
+        {route_row("write", "/write/", "ledger"), route_row("archive", "/write/archive/", "ledger")});
+    json services = json::array({service_row("ledger"), service_row("archive")});
+    json limits = {{"max_header_bytes", 16384},
+                   {"max_body_bytes", 67108864},
+                   {"header_timeout_ms", 3000},
+                   {"idle_timeout_ms", 15000}};
+
+    [[nodiscard]] std::string text(std::uint64_t version) const {
+        return json{{"config_version", version},
+                    {"routes", table_of(this->routes)},
+                    {"services", table_of(this->services)},
+                    {"limits", this->limits}}
+            .dump();
+    }
+};
+
+// A node's part for settings, which reads the store.
+struct configured_node {
+    event_loop* loop;
+    node_mailboxes mailboxes;
+    metrics stats;
+    node_context context;
+    std::shared_ptr<const model> in_force = std::make_shared<const model>();
+    std::unique_ptr<control_task> control;
+
+    configured_node(event_loop& shared_loop, const address& store) : loop{&shared_loop}, mailboxes{shared_loop} {
+        auto& settings = this->context.settings;
+        settings.peers = {"127.0.0.1", 7000};
+        settings.reachable_at = settings.peers;
+        settings.platform = {store};
+        settings.data_centres = {{"dakar-a", "dakar"}, {"tamba-a", "tamba"}};
+        settings.reading.wait = 50ms;
+        settings.reading.pause = 1ms;
+        this->context.loop = this->loop;
+        this->context.stats = &this->stats;
+        this->context.incarnation = 1;
+        this->context.mailboxes = &this->mailboxes;
+        auto protocols = platform_protocols(settings);
+        REQUIRE(succeeded(protocols));
+        this->context.protocols = value_of(std::move(protocols));
+        this->mailboxes.entry.on_message([this](entry_message&& received) {
+            if (const auto* changed = std::get_if<settings_changed>(&received)) {
+                this->in_force = changed->settings;
+            }
+        });
+        this->mailboxes.owner.on_message([](owner_message&&) {});
+        this->mailboxes.peer_client.on_message([](peer_client_message&&) {});
+        this->mailboxes.peer_server.on_message([](peer_server_message&&) {});
+        this->control = std::make_unique<control_task>(this->context);
+        this->control->start();
+    }
+
+    [[nodiscard]] const team* platform_team() const { return this->in_force->find_team(team_name); }
+
+    [[nodiscard]] const route* route_of(const std::string& target) const {
+        const auto* found = this->platform_team();
+        return found == nullptr ? nullptr : match_host(*found, route_host, target);
+    }
+
+    // The service that serves a request now: "none" when there is no route, empty when the route has no
+    // service.
+    [[nodiscard]] std::string service_of(const std::string& target) const {
+        const auto* matched = this->route_of(target);
+        return matched == nullptr ? "none" : matched->service;
+    }
+
+    // Waits until a backend server that was registered after all else is known.
+    void wait_for_server(const std::string& id) {
+        const auto is_known = [&] {
+            return std::any_of(this->in_force->hosts.begin(), this->in_force->hosts.end(),
+                               [&id](const auto& listed) { return listed.second.name == id; });
+        };
+        REQUIRE(test::wait_for(*this->loop, is_known));
+    }
+};
+
+struct configured_store {
+    event_loop loop;
+    address store_address = test::free_address();
+    test::store_stand_in store{loop, {}};
+    std::uint64_t version = 0;
+    std::size_t server_count = 0;
+
+    configured_store() { REQUIRE(succeeded(this->store.listen("store", this->store_address))); }
+
+    // Writes the next version, and then registers a backend server. Returns its id.
+    std::string write(const configuration& written) {
+        this->store.put("op/config", written.text(++this->version));
+        return this->register_server("archive");
+    }
+
+    std::string register_server(const std::string& service) {
+        const auto id = "i-" + std::to_string(++this->server_count);
+        this->store.put("servers/" + id,
+                        json{{"address", "127.0.1." + std::to_string(this->server_count) + ":8328"},
+                             {"info", {{"service", service}, {"zone", "dakar-a"}, {"slots", 6}}},
+                             {"status", {{"state", "ready"}}}}
+                            .dump());
+        return id;
+    }
+};
+
+} // namespace
+
+// Guards against a version of which nothing is in force because one of its routes cannot be read.
+TEST_CASE("a route that cannot be read keeps no other change of its version out of force",
+          "[configuration_in_force]") {
+    configured_store platform;
+    configuration written;
+    const auto first_server = platform.write(written);
+    configured_node running{platform.loop, platform.store_address};
+    running.wait_for_server(first_server);
+    REQUIRE(running.service_of("/write/1") == "ledger");
+    REQUIRE(running.service_of("/write/archive/1") == "ledger");
+
+    written.routes[0]["service"] = "archive";
+    written.routes[1]["service"] = "archive";
+    written.routes[1]["allowed_regions"] = "everywhere";
+    auto added = route_row("export", "/write/export/", "archive");
+    added["allowed_regions"] = "everywhere";
+    written.routes.push_back(added);
+    const auto second_server = platform.write(written);
+
+    SECTION("on a node that runs, which keeps the route's last value") {
+        running.wait_for_server(second_server);
+        CHECK(running.service_of("/write/1") == "archive");
+        CHECK(running.service_of("/write/archive/1") == "ledger");
+    }
+    SECTION("on a node that starts, which rejects the route's calls and sends them to no other service") {
+        configured_node started{platform.loop, platform.store_address};
+        started.wait_for_server(second_server);
+        CHECK(started.service_of("/write/1") == "archive");
+        CHECK(started.service_of("/write/archive/1").empty());
+        CHECK(started.service_of("/write/export/1").empty());
+        CHECK(started.platform_team()->services.size() == 2);
+    }
+    SECTION("and the next version that can be read is in force") {
+        running.wait_for_server(second_server);
+        written.routes[1]["allowed_regions"] = json::array({"dakar"});
+        written.routes[2]["allowed_regions"] = json::array();
+        const auto third_server = platform.write(written);
+        running.wait_for_server(third_server);
+        CHECK(running.service_of("/write/archive/1") == "archive");
+        CHECK(running.service_of("/write/export/1") == "archive");
+    }
+}
+
+} // namespace chervilturn::adapter
