Hold every value of a configuration that the store accepts

Change: the reader's ranges are what its types hold. The callers' limits are optional one by one, and the node's own hold again when they are withdrawn (this last is not tested).

--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -15,6 +15,7 @@
 // the random delay of the start, a new connection and the pages.
 constexpr microseconds own_reading_allowance = std::chrono::milliseconds{500};
 constexpr std::int64_t hour_in_milliseconds = 3'600'000;
+constexpr std::int64_t day_in_milliseconds = 24 * hour_in_milliseconds; // longest time between nodes
 // Between the end of the grace time and the kill, for the process to end by itself.
 constexpr microseconds kill_margin = std::chrono::milliseconds{500};
 
@@ -59,7 +60,7 @@
     limits.default_deadline =
         reader.milliseconds_or("default_deadline_ms", {0, hour_in_milliseconds}, limits.default_deadline);
     limits.max_deadline =
-        reader.milliseconds_or("max_deadline_ms", {1, hour_in_milliseconds}, limits.max_deadline);
+        reader.milliseconds_or("max_deadline_ms", {1, day_in_milliseconds}, limits.max_deadline);
     limits.shutdown_grace = read_shutdown_grace(reader, limits.shutdown_grace);
     limits.drain_delay =
         reader.milliseconds_or("shutdown_notice_ms", {0, hour_in_milliseconds}, limits.drain_delay);
--- a/src/chervilturn/config/object_reader.cpp
+++ b/src/chervilturn/config/object_reader.cpp
@@ -94,19 +94,25 @@
     return value == nullptr ? fallback : this->integer(key, range);
 }
 
-double object_reader::number_or(const char* key, number_range range, double fallback) {
+double object_reader::number(const char* key, number_range range) {
     const auto expected = "a number from " + std::to_string(range.low) + " to " + std::to_string(range.high);
-    const auto* value = this->member(key, false, expected.c_str());
+    const auto* value = this->member(key, false, "");
     if (value == nullptr) {
-        return fallback;
+        this->fail(key, nullptr, expected);
+        return range.low;
     }
     if (!value->is_number() || value->get<double>() < range.low || value->get<double>() > range.high) {
         this->fail(key, value, expected);
-        return fallback;
+        return range.low;
     }
     return value->get<double>();
 }
 
+double object_reader::number_or(const char* key, number_range range, double fallback) {
+    const auto* value = this->member(key, false, "");
+    return value == nullptr ? fallback : this->number(key, range);
+}
+
 bool object_reader::boolean_or(const char* key, bool fallback) {
     const auto* value = this->member(key, false, "");
     if (value == nullptr) {
@@ -172,6 +178,10 @@
     return std::chrono::milliseconds{this->integer(key, range)};
 }
 
+bool object_reader::has(const char* key) const {
+    return this->object->is_object() && this->object->contains(key);
+}
+
 std::vector<object_reader> object_reader::objects(const char* key) {
     return this->objects_of(key, this->member(key, true, "a list of objects"));
 }
@@ -206,7 +216,7 @@
 }
 
 void object_reader::reject(const std::string& key, std::string expected) {
-    const bool present = this->object->is_object() && this->object->contains(key);
+    const bool present = this->has(key.c_str());
     this->fail(key, present ? &(*this->object)[key] : nullptr, std::move(expected));
 }
 
--- a/src/chervilturn/config/object_reader.hpp
+++ b/src/chervilturn/config/object_reader.hpp
@@ -59,6 +59,7 @@
                                         std::string fallback);
     [[nodiscard]] std::int64_t integer(const char* key, integer_range range);
     [[nodiscard]] std::int64_t integer_or(const char* key, integer_range range, std::int64_t fallback);
+    [[nodiscard]] double number(const char* key, number_range range);
     [[nodiscard]] double number_or(const char* key, number_range range, double fallback);
     [[nodiscard]] bool boolean_or(const char* key, bool fallback);
     [[nodiscard]] address address_at(const char* key);
@@ -71,6 +72,9 @@
     /// @brief Reads an integer number of milliseconds.
     [[nodiscard]] microseconds milliseconds_or(const char* key, integer_range range, microseconds fallback);
 
+    /// @brief Whether the object has a member.
+    [[nodiscard]] bool has(const char* key) const;
+
     /// @brief Returns one reader per object of a list member; an absent list is an error.
     [[nodiscard]] std::vector<object_reader> objects(const char* key);
 
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-constexpr integer_range slot_range{1, 10'000};
-constexpr std::int64_t hour_in_milliseconds = 3'600'000;
+constexpr integer_range slot_range{1, 1'000'000'000};
+constexpr std::int64_t longest_milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(longest_setting).count();
+// Zero is no time that a call may take; without a limit the member is absent.
+constexpr integer_range timeout_range{1, longest_milliseconds};
 
 struct leaf_name {
     std::string kind;
@@ -58,7 +61,7 @@
     parsed.cold_per_second =
         static_cast<std::uint32_t>(reader.integer_or("cold_per_second", {0, 1'000'000}, 0));
     parsed.cold_start =
-        reader.milliseconds_or("cold_start_ms", {0, hour_in_milliseconds}, microseconds::zero());
+        reader.milliseconds_or("cold_start_ms", {0, longest_milliseconds}, microseconds::zero());
     parsed.probe_path = reader.text_or("probe_path", parsed.probe_path);
     parsed.home_regions = reader.names_or_none("home_regions");
     return parsed;
@@ -94,10 +97,9 @@
         parsed.service = reader.text("service");
     }
     parsed.host = reader.text_or("host", "");
-    parsed.timeout = reader.milliseconds_or("timeout_ms", {1, hour_in_milliseconds}, microseconds::zero());
-    parsed.target_latency =
-        reader.milliseconds_or("target_latency_ms", {1, hour_in_milliseconds}, microseconds::zero());
-    parsed.max_attempts = static_cast<std::uint32_t>(reader.integer_or("max_attempts", {1, 100}, 0));
+    parsed.timeout = reader.milliseconds_or("timeout_ms", timeout_range, microseconds::zero());
+    parsed.target_latency = reader.milliseconds_or("target_latency_ms", timeout_range, microseconds::zero());
+    parsed.max_attempts = static_cast<std::uint32_t>(reader.integer_or("max_attempts", {1, UINT32_MAX}, 0));
     parsed.prefix = reader.text_or("prefix", "/");
     if (!parsed.prefix.starts_with('/')) {
         reader.reject("prefix", "a path that starts with \"/\"");
@@ -115,15 +117,23 @@
 }
 
 [[nodiscard]] caller_limits read_caller_limits(object_reader& reader) {
-    constexpr integer_range byte_range{1, 1 << 30};
-    caller_limits parsed;
-    parsed.max_header_bytes = static_cast<std::size_t>(reader.integer("max_header_bytes", byte_range));
-    parsed.max_body_bytes = static_cast<std::size_t>(reader.integer("max_body_bytes", byte_range));
-    parsed.header_timeout =
-        std::chrono::milliseconds{reader.integer("header_timeout_ms", {1, hour_in_milliseconds})};
-    parsed.idle_timeout =
-        std::chrono::milliseconds{reader.integer("idle_timeout_ms", {1, hour_in_milliseconds})};
-    return parsed;
+    constexpr std::int64_t max_bytes = 1LL << 53U;
+    const auto bytes_or_none = [&reader](const char* key, std::int64_t least) -> std::optional<std::size_t> {
+        if (!reader.has(key)) {
+            return std::nullopt;
+        }
+        return static_cast<std::size_t>(reader.integer(key, {least, max_bytes}));
+    };
+    const auto time_or_none = [&reader](const char* key) -> std::optional<microseconds> {
+        if (!reader.has(key)) {
+            return std::nullopt;
+        }
+        return std::chrono::milliseconds{reader.integer(key, timeout_range)};
+    };
+    return {.max_header_bytes = bytes_or_none("max_header_bytes", 1),
+            .max_body_bytes = bytes_or_none("max_body_bytes", 0),
+            .header_timeout = time_or_none("header_timeout_ms"),
+            .idle_timeout = time_or_none("idle_timeout_ms")};
 }
 
 // The first service of a route which the team does not have.
--- a/src/chervilturn/core/time.hpp
+++ b/src/chervilturn/core/time.hpp
@@ -13,6 +13,10 @@
 /// @brief Resolution of all durations in decisions.
 using microseconds = std::chrono::microseconds;
 
+/// @brief The longest time that settings can state. The sum of several such times and an instant is an
+/// instant.
+inline constexpr microseconds longest_setting = std::chrono::hours{50 * 365 * 24};
+
 /// @brief Wall-clock time in milliseconds since the Unix epoch, the resolution of creation times in
 /// idempotency keys.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -469,16 +469,17 @@
 
 // Caller limits in the accepted settings override those of the node's settings file.
 void entry_task::configure_server() {
+    auto options = this->server_options();
     for (const auto& [name, owning_team] : this->settings->teams) {
         if (owning_team.limits) {
-            auto options = this->server_options();
-            options.max_header_bytes = owning_team.limits->max_header_bytes;
-            options.max_body_bytes = owning_team.limits->max_body_bytes;
-            options.header_timeout = owning_team.limits->header_timeout;
-            options.idle_timeout = owning_team.limits->idle_timeout;
-            this->server->configure(options);
+            const auto& limits = *owning_team.limits;
+            options.max_header_bytes = limits.max_header_bytes.value_or(options.max_header_bytes);
+            options.max_body_bytes = limits.max_body_bytes.value_or(options.max_body_bytes);
+            options.header_timeout = limits.header_timeout.value_or(options.header_timeout);
+            options.idle_timeout = limits.idle_timeout.value_or(options.idle_timeout);
         }
     }
+    this->server->configure(options);
 }
 
 retry_budget& entry_task::retry_budget_for(const call& original, std::uint32_t retry_percent) {
