Limit cold backend servers at rates with a fraction

Cause: the adapter cut the rate to a whole number, and 0 meant no limit. The owner's log shows that it knew the server to be cold (backend_server_cold) and admitted every call with rate_wait_us=0. The line now names the rate that holds.

Change: rates are optional numbers, with their fraction from the store to the bucket; absent means no limit and zero is one. Waits without end are one function of the token bucket, which the stated rate uses too.

Tests: the translation's expected 8 of 8.6, the cut itself; it is 8.6 now. The others are new.

--- a/src/chervilturn/admission/admission_controller.cpp
+++ b/src/chervilturn/admission/admission_controller.cpp
@@ -212,7 +212,7 @@
     const auto stated_wait = this->stated_rate.wait_after(this->queue.size_before(entry), now);
     const auto wait = this->expected_wait(entry, now);
     const bool is_rate_limited = stated_wait > microseconds::zero() && stated_wait >= wait;
-    const bool has_end = wait < stated_rate_limit::unlimited_wait;
+    const bool has_end = wait < token_bucket::endless_wait;
     return {is_rate_limited ? reason::server_rate_limited : why, has_end ? wait : microseconds::zero()};
 }
 
--- a/src/chervilturn/admission/stated_rate_limit.cpp
+++ b/src/chervilturn/admission/stated_rate_limit.cpp
@@ -35,15 +35,7 @@
     if (!this->calls_per_second) {
         return microseconds::zero();
     }
-    const double missing_tokens = static_cast<double>(calls) + 1.0 - token_bucket{this->bucket}.level(now);
-    if (missing_tokens <= 0.0) {
-        return microseconds::zero();
-    }
-    const double seconds = missing_tokens / *this->calls_per_second; // infinite when the rate is zero
-    if (!(seconds < to_seconds(unlimited_wait))) {
-        return unlimited_wait;
-    }
-    return std::chrono::ceil<microseconds>(std::chrono::duration<double>{seconds});
+    return this->bucket.wait_for(static_cast<double>(calls) + 1.0, now);
 }
 
 } // namespace chervilturn
--- a/src/chervilturn/admission/stated_rate_limit.hpp
+++ b/src/chervilturn/admission/stated_rate_limit.hpp
@@ -27,11 +27,11 @@
     void count(instant now) noexcept;
 
     /// @brief Time until the rate has room for one more call after the given number; zero without a limit, at
-    /// most unlimited_wait.
+    /// most token_bucket::endless_wait.
     [[nodiscard]] microseconds wait_after(std::size_t calls, instant now) const noexcept;
 
     /// @brief Stands for a wait without an end, under a limit of zero.
-    static constexpr microseconds unlimited_wait = std::chrono::hours{1};
+    static constexpr microseconds unlimited_wait = token_bucket::endless_wait;
 
   private:
     std::optional<double> calls_per_second;
--- a/src/chervilturn/config/model.hpp
+++ b/src/chervilturn/config/model.hpp
@@ -35,7 +35,8 @@
     std::uint32_t max_queue = 64;      // calls that may wait at the owner of one backend server
     std::uint32_t cold_slots = 1;      // concurrent calls to a cold backend server
     std::uint32_t warm_up_answers = 8; // answers at normal latency before a slot is added
-    std::uint32_t cold_per_second = 0; // calls per second to a cold backend server; 0: no limit
+    // Calls per second to a cold backend server, may be a fraction; nothing: no limit.
+    std::optional<double> cold_per_second;
     microseconds cold_start{}; // how long a server is cold after a start; zero: not assumed cold
     std::string probe_path = "/load";
     region_set home_regions;
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -15,6 +15,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(longest_setting).count();
 // Zero is no time that a call may take; without a limit the member is absent.
 constexpr integer_range timeout_range{1, longest_milliseconds};
+constexpr number_range rate_range{0.0, 1e9};     // calls per second
 
 struct leaf_name {
     std::string kind;
@@ -40,7 +41,7 @@
 }
 
 [[nodiscard]] service read_service(object_reader& reader, const std::string& name) {
-    service parsed{.name = name, .backend_servers = {}, .home_regions = {}};
+    service parsed{.name = name, .backend_servers = {}, .cold_per_second = {}, .home_regions = {}};
     std::set<std::string> names;
     std::set<address> nodes;
     for (auto& nested : reader.objects_or_none("backend_servers")) {
@@ -58,8 +59,9 @@
     parsed.max_queue = static_cast<std::uint32_t>(reader.integer_or("max_queue", {0, 100'000}, 64));
     parsed.cold_slots = static_cast<std::uint32_t>(reader.integer_or("cold_slots", slot_range, 1));
     parsed.warm_up_answers = static_cast<std::uint32_t>(reader.integer_or("warm_up_answers", slot_range, 8));
-    parsed.cold_per_second =
-        static_cast<std::uint32_t>(reader.integer_or("cold_per_second", {0, 1'000'000}, 0));
+    if (reader.has("cold_per_second")) {
+        parsed.cold_per_second = reader.number("cold_per_second", rate_range);
+    }
     parsed.cold_start =
         reader.milliseconds_or("cold_start_ms", {0, longest_milliseconds}, microseconds::zero());
     parsed.probe_path = reader.text_or("probe_path", parsed.probe_path);
--- a/src/chervilturn/core/token_bucket.cpp
+++ b/src/chervilturn/core/token_bucket.cpp
@@ -27,6 +27,19 @@
     return this->tokens;
 }
 
+microseconds token_bucket::wait_for(double needed_tokens, instant now) const noexcept {
+    auto present = *this;
+    const double missing_tokens = needed_tokens - present.level(now);
+    if (missing_tokens <= 0.0) {
+        return microseconds::zero();
+    }
+    const double seconds = missing_tokens / this->tokens_per_second; // infinite when the rate is zero
+    if (!(seconds < to_seconds(endless_wait))) {
+        return endless_wait;
+    }
+    return std::chrono::ceil<microseconds>(std::chrono::duration<double>{seconds});
+}
+
 void token_bucket::refill(instant now) noexcept {
     if (now <= this->refilled_at) {
         return;
--- a/src/chervilturn/core/token_bucket.hpp
+++ b/src/chervilturn/core/token_bucket.hpp
@@ -30,6 +30,13 @@
     /// @brief Number of tokens in the bucket at an instant.
     [[nodiscard]] double level(instant now) noexcept;
 
+    /// @brief Time until so many tokens have come in, less those in the bucket, whatever its capacity.
+    /// Rounded up, at most endless_wait.
+    [[nodiscard]] microseconds wait_for(double needed_tokens, instant now) const noexcept;
+
+    /// @brief Stands for a wait without an end, at a rate of zero.
+    static constexpr microseconds endless_wait = std::chrono::hours{1};
+
   private:
     void refill(instant now) noexcept;
 
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -28,10 +28,11 @@
 // Half of the slack covers the calls that an owner has dispatched before it was restarted.
 [[nodiscard]] cold_rate_limit_options cold_options(const service& target, const cold_allowance& allowance) {
     constexpr double used_slack = 0.5;
-    constexpr double min_burst = 2.0;
+    const double burst = std::max(1.0, allowance.slack * used_slack);
     return {.calls_per_second = target.cold_per_second,
             .overshoot = allowance.overshoot,
-            .burst = std::max(min_burst, allowance.slack * used_slack),
+            .burst = burst,
+            .slack = std::max(burst, allowance.slack),
             .cold_start = target.cold_start};
 }
 
--- a/src/chervilturn/node/server_reports.cpp
+++ b/src/chervilturn/node/server_reports.cpp
@@ -46,9 +46,11 @@
 void server_reports::on_cold_left(microseconds cold_left) {
     const auto now = now_monotonic();
     auto& limit = this->owner.admission->cold_limit();
-    if (limit.is_cold(now) != (cold_left > microseconds::zero())) {
+    if (limit.is_reported_cold(now) != (cold_left > microseconds::zero())) {
         log_event(log_level::info, "backend_server_cold",
-                  {{"server", this->owner.state->server_name()}, {"cold_left_us", cold_left.count()}});
+                  {{"server", this->owner.state->server_name()},
+                   {"cold_left_us", cold_left.count()},
+                   {"calls_per_second", rate_text(limit.rate_limit())}});
     }
     limit.on_reported(cold_left, now);
 }
--- a/test/platform/configuration_in_force_test.cpp
+++ b/test/platform/configuration_in_force_test.cpp
@@ -288,6 +288,18 @@
         written.services[0]["cold_start_s"] = 0.0004;
         CHECK(in_force()->find_team(team_name)->services.at("ledger").cold_start == 1ms);
     }
+    SECTION("a cold rate below one call a second, which is not none") {
+        written.services[0]["cold_per_s"] = 0.6;
+        CHECK(in_force()->find_team(team_name)->services.at("ledger").cold_per_second == 0.6);
+    }
+    SECTION("a cold rate of zero, which is not none either") {
+        written.services[0]["cold_per_s"] = 0;
+        CHECK(in_force()->find_team(team_name)->services.at("ledger").cold_per_second == 0.0);
+    }
+    SECTION("no cold rate") {
+        written.services[0]["cold_per_s"] = nullptr;
+        CHECK_FALSE(in_force()->find_team(team_name)->services.at("ledger").cold_per_second);
+    }
     SECTION("a service without a path for probes") {
         written.services[0]["health_path"] = "";
         CHECK(in_force()->find_team(team_name)->services.contains("ledger"));
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -70,7 +70,7 @@
     CHECK(split_route->home_regions.empty());
     CHECK(match_host(platform_team, "a.example", "/z/") == nullptr);
     CHECK(match_host(platform_team, "b.example", "/x/") == nullptr);
-    CHECK(platform_team.services.at("s1").cold_per_second == 8);
+    CHECK(platform_team.services.at("s1").cold_per_second == 8.6);
     CHECK(platform_team.services.at("s1").cold_start == 3s);
     REQUIRE(platform_team.limits);
     CHECK(platform_team.limits->idle_timeout == 15s);
