--- a/src/chervilturn/config/model.hpp
+++ b/src/chervilturn/config/model.hpp
@@ -53,7 +53,7 @@
 /// @brief One service of a route's traffic split and its weight.
 struct split_part {
     std::string service;
-    std::uint32_t weight = 1;
+    double weight = 1.0; // share of the calls relative to the other parts, may be a fraction
 };
 
 /// @brief Matches calls by host and path prefix; sets their service and how they are handled.
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -15,6 +15,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(longest_setting).count();
 // Zero is no time that a call may take; without a limit the member is absent.
 constexpr integer_range timeout_range{1, longest_milliseconds};
+constexpr number_range weight_range{0.0, 1e300}; // the sum of all parts stays finite
 constexpr number_range rate_range{0.0, 1e9};     // calls per second
 
 struct leaf_name {
@@ -90,8 +91,7 @@
     route parsed{.name = name, .service = {}, .split = {}, .host = {}, .home_regions = {}};
     for (auto& nested : reader.objects_or_none("split")) {
         parsed.split.push_back(
-            {.service = nested.text("service"),
-             .weight = static_cast<std::uint32_t>(nested.integer("weight", {0, 1'000'000}))});
+            {.service = nested.text("service"), .weight = nested.number("weight", weight_range)});
         static_cast<void>(nested.finish());
         reader.take_error(nested);
     }
