--- a/test/platform/configuration_in_force_test.cpp
+++ b/test/platform/configuration_in_force_test.cpp
@@ -356,4 +356,26 @@
     }
 }
 
+// Guards against an evacuation that is not in force, nor any after it, because the settings file does not
+// name its data centre.
+TEST_CASE("an evacuation of a data centre that the settings file does not name is in force",
+          "[configuration_in_force]") {
+    configured_store platform;
+    const auto running_node = platform.start_node(platform.write({}));
+    auto& node = *running_node;
+    platform.store.put("op/evacuate/tamba-new", "{}");
+    platform.store.put("op/evacuate/dakar-a", "{}");
+    node.wait_for_server(platform.register_server("archive"));
+    CHECK_FALSE(node.in_force->in_service(team_name, "tamba-new"));
+    CHECK_FALSE(node.in_force->in_service(team_name, "dakar-a"));
+    CHECK(node.in_force->in_service(team_name, "tamba-a"));
+
+    SECTION("until it is taken back") {
+        platform.store.remove("op/evacuate/tamba-new");
+        node.wait_for_server(platform.register_server("archive"));
+        CHECK(node.in_force->in_service(team_name, "tamba-new"));
+        CHECK_FALSE(node.in_force->in_service(team_name, "dakar-a"));
+    }
+}
+
 } // namespace chervilturn::adapter
