Accept names of routes, services and servers that hold a slash

Such a configuration was refused as a whole.

Cause: the path of a leaf is teams/TEAM/KIND/NAME, and a further slash was refused.

Change: all that follows the kind is the name, also for ids of backend servers.

--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -235,7 +235,7 @@
     if (json.is_discarded()) {
         return settings_error{source.path, "(root)", "the text", "valid JSON"};
     }
-    if (path.name.empty() || path.name.find('/') != std::string::npos) {
+    if (path.name.empty()) {
         return settings_error{source.path, "(path)", "the path", "teams/TEAM/KIND/NAME"};
     }
     object_reader reader{json, source.path, ""};
--- a/test/platform/configuration_in_force_test.cpp
+++ b/test/platform/configuration_in_force_test.cpp
@@ -303,6 +303,13 @@
         CHECK(first_part > call_count * 0.23);
         CHECK(first_part < call_count * 0.27);
     }
+    SECTION("a name that holds a slash") {
+        added["name"] = "export/of/ledgers";
+        written.services.push_back(service_row("desk/1"));
+        added["service"] = "desk/1";
+        CHECK(route_in_force().service == "desk/1");
+        CHECK(running.platform_team()->services.contains("desk/1"));
+    }
     SECTION("a cold start of two hours") {
         written.services[0]["cold_start_s"] = 7200;
         CHECK(in_force()->find_team(team_name)->services.at("ledger").cold_start == 2h);
