Match host names of routes whatever their case

What callers saw: not seen by callers; found on the related paths. A route written for A.Example answered 404 to a request for a.example.

Cause: the names were compared letter by letter. Host names are the same whatever their case (RFC 9110, 4.2.3).

Change: the settings hold host names in lower case, and a request's is looked up so.

Measured: the new section of configuration_in_force_test fails on the code before (2 of 14 checks) and passes now.

--- a/src/chervilturn/config/model.cpp
+++ b/src/chervilturn/config/model.cpp
@@ -1,6 +1,8 @@
 // Lookups in the accepted settings.
 #include "chervilturn/config/model.hpp"
 
+#include <algorithm>
+
 namespace chervilturn {
 
 namespace {
@@ -72,8 +74,16 @@
     return best;
 }
 
+std::string normal_host_name(std::string_view name) {
+    std::string normal{name};
+    std::transform(normal.begin(), normal.end(), normal.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+    });
+    return normal;
+}
+
 const route* match_host(const team& owning_team, const std::string& host_name, std::string_view path) {
-    const auto found = owning_team.routes->by_host.find(host_name);
+    const auto found = owning_team.routes->by_host.find(normal_host_name(host_name));
     if (found == owning_team.routes->by_host.end()) {
         return nullptr;
     }
--- a/src/chervilturn/config/model.hpp
+++ b/src/chervilturn/config/model.hpp
@@ -61,7 +61,8 @@
     std::string name;
     std::string service; // empty when the calls are split
     std::vector<split_part> split;
-    std::string host; // host name of the caller's request; empty: the route is matched by service and path
+    // In lower case, of the caller's request; empty: the route is matched by service and path.
+    std::string host;
     std::string prefix = "/";
     bool idempotent = false;
     bool urgent = false;
@@ -148,6 +149,9 @@
 [[nodiscard]] const route* match_route(const team& owning_team, const std::string& service_name,
                                        std::string_view path);
 
+/// @brief A host name in lower case: host names are the same whatever their case (RFC 9110, 4.2.3).
+[[nodiscard]] std::string normal_host_name(std::string_view name);
+
 /// @brief Returns the host name's route with the longest prefix that matches the path; null when none
 /// matches.
 [[nodiscard]] const route* match_host(const team& owning_team, const std::string& host_name,
--- a/src/chervilturn/config/team_compiler.cpp
+++ b/src/chervilturn/config/team_compiler.cpp
@@ -98,7 +98,7 @@
     if (parsed.split.empty()) {
         parsed.service = reader.text("service");
     }
-    parsed.host = reader.text_or("host", "");
+    parsed.host = normal_host_name(reader.text_or("host", ""));
     parsed.timeout = reader.milliseconds_or("timeout_ms", timeout_range, microseconds::zero());
     parsed.target_latency = reader.milliseconds_or("target_latency_ms", timeout_range, microseconds::zero());
     parsed.max_attempts = static_cast<std::uint32_t>(reader.integer_or("max_attempts", {1, UINT32_MAX}, 0));
@@ -261,7 +261,7 @@
     object_reader reader{json, source.path, ""};
     auto withheld = std::make_shared<route>();
     withheld->name = path.name;
-    withheld->host = reader.text("host");
+    withheld->host = normal_host_name(reader.text("host"));
     withheld->prefix = reader.text("prefix");
     if (withheld->host.empty() || !withheld->prefix.starts_with('/')) {
         return std::nullopt;
--- a/test/platform/configuration_in_force_test.cpp
+++ b/test/platform/configuration_in_force_test.cpp
@@ -303,6 +303,11 @@
         CHECK(first_part > call_count * 0.23);
         CHECK(first_part < call_count * 0.27);
     }
+    SECTION("a host name in another case than the callers use") {
+        added["host"] = "A.Example";
+        CHECK(route_in_force().prefix == "/export/");
+        CHECK(match_host(*running.platform_team(), "a.EXAMPLE", "/export/1") != nullptr);
+    }
     SECTION("a name that holds a slash") {
         added["name"] = "export/of/ledgers";
         written.services.push_back(service_row("desk/1"));
