Read numbers in headers with their fraction

What callers saw: not seen by callers; found on the related paths. A Chervilturn-Deadline-Ms of 800.5 or of twenty digits was answered 400, a Chervilturn-Cold-Ms of 1500.5 was read as warm, and a load figure beyond 32 bits was cut.

Change: one reader of decimal numbers serves the statements, deadlines, loads and cold times. A request without a deadline has the time of its route.

--- a/src/chervilturn/node/server_statement.cpp
+++ b/src/chervilturn/node/server_statement.cpp
@@ -1,26 +1,13 @@
 // Parsing of a backend server's statements and the order in which they apply.
 #include "chervilturn/node/server_statement.hpp"
 
+#include "chervilturn/core/decimal.hpp"
 #include "chervilturn/transport/http.hpp"
 
-#include <charconv>
-#include <cmath>
-
 namespace chervilturn {
 
 namespace {
 
-[[nodiscard]] std::optional<double> parse_rate(std::string_view text) {
-    double value = 0.0;
-    const auto parsed =
-        std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    const bool whole_text = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
-    if (!whole_text || !std::isfinite(value) || value < 0.0) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 // Whether a stated rate limits more than the one in force; nothing stands for no limit.
 [[nodiscard]] bool is_stricter(std::optional<double> stated, std::optional<double> in_force) {
     return stated && (!in_force || *stated < *in_force);
@@ -35,7 +22,7 @@
     if (rate_text.empty()) {
         return stated;
     }
-    stated.calls_per_second = parse_rate(rate_text);
+    stated.calls_per_second = parse_decimal(rate_text);
     if (!stated.calls_per_second) {
         stated.unreadable_rate = rate_text;
     }
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -161,6 +161,28 @@
         const auto limited = callers.read({&settings, &node}, http_request{long_request});
         CHECK(value_of(limited).original_call.remaining == 1500ms);
     }
+    SECTION("its deadline may have a fraction, and be longer than any clock") {
+        auto fractional = sample_request("/x/1");
+        fractional.headers[2].value = "800.5";
+        CHECK(value_of(callers.read({&settings, &node}, std::move(fractional))).original_call.remaining ==
+              800'500us);
+        auto endless = sample_request("/x/1");
+        endless.headers[2].value = "99999999999999999999";
+        CHECK(value_of(callers.read({&settings, &node}, std::move(endless))).original_call.remaining ==
+              1500ms);
+        for (const auto* text : {"-1", "+1", "soon", "1e3", "800ms"}) {
+            auto unreadable = sample_request("/x/1");
+            unreadable.headers[2].value = text;
+            CHECK(error_of(callers.read({&settings, &node}, std::move(unreadable))).status == 400);
+        }
+    }
+    SECTION("without a deadline it has the time of its route") {
+        auto without_deadline = sample_request("/x/1");
+        without_deadline.headers.erase(without_deadline.headers.begin() + 2);
+        CHECK(
+            value_of(callers.read({&settings, &node}, std::move(without_deadline))).original_call.remaining ==
+            1500ms);
+    }
     SECTION("it is refused when no route matches or no configuration is loaded") {
         CHECK(error_of(callers.read({&settings, &node}, sample_request("/none/"))).status == 404);
         const model empty;
@@ -194,6 +216,26 @@
     CHECK(load->slowdown_percent == 250);
     CHECK_FALSE(read_load("3,1"));
     CHECK_FALSE(read_load("a,b,c"));
+    const auto unusual_load = read_load("3,1,99999999999,120.5");
+    REQUIRE(unusual_load);
+    CHECK(unusual_load->slots == UINT32_MAX);
+    CHECK(unusual_load->slowdown_percent == 120);
+
+    SECTION("the time that a backend server stays cold may have a fraction") {
+        const auto cold_left = [&backend](const char* text) {
+            const auto report = backend.read_probe(
+                {.status = 200,
+                 .headers = {{"Chervilturn-Instance-Id", "i-1"}, {"Chervilturn-Cold-Ms", text}},
+                 .body = {}});
+            REQUIRE(report);
+            return report->cold_left;
+        };
+        CHECK(cold_left("1500") == 1500ms);
+        CHECK(cold_left("0.25") == 250us);
+        CHECK(cold_left("99999999999999999999") == longest_setting);
+        CHECK(cold_left("") == 0ms);
+        CHECK_FALSE(cold_left("long")); // what was known before stays
+    }
 }
 
 } // namespace chervilturn::adapter
