Read heads up to the callers' limit, whatever the parser's own

What callers saw: not seen by callers; found on the related paths. With a published max_header_bytes above 80 KiB a larger head was answered 400.

Cause: http-parser has a limit of its own of 80 KiB for all parsers of a process.

Change: a head, which is parsed only when it is whole and within the reader's limit, raises that limit to its own size; the default holds again for chunk headers and trailers, which nothing else bounds.

Measured: the new case of http_reader_test (a head of 200 KB) fails on the code before and passes now; trailers without end are still refused, as before.

--- a/src/chervilturn/transport/http_reader.cpp
+++ b/src/chervilturn/transport/http_reader.cpp
@@ -249,6 +249,11 @@
         table.on_message_complete = callbacks::on_complete;
         return table;
     }();
+    // A head is parsed only when it is whole and within the reader's own limit. The parser's limit, which
+    // holds for all parsers of the process, bounds what follows: chunk headers and trailers.
+    const auto head_bytes = static_cast<std::uint32_t>(
+        std::clamp<std::size_t>(length + 1, HTTP_MAX_HEADER_SIZE, std::numeric_limits<std::uint32_t>::max()));
+    http_parser_set_max_header_size(this->head_done ? HTTP_MAX_HEADER_SIZE : head_bytes);
     consumed = http_parser_execute(&this->parser, &settings, bytes, length);
     if (this->message_done) {
         return read_status::complete;
--- a/test/chervilturn/transport/http_reader_test.cpp
+++ b/test/chervilturn/transport/http_reader_test.cpp
@@ -131,6 +131,23 @@
     }
 }
 
+// Guards against requests that are within the callers' limits and refused by the parser's own one.
+TEST_CASE("a head is read up to the limit of the reader, whatever the parser's own limit") {
+    constexpr std::size_t header_bytes = 200UL * 1024;
+    http_reader reader{http_kind::request, {.max_header_bytes = 2 * header_bytes}};
+    const auto value = std::string(header_bytes, 'a');
+    const text_buffer input{"GET / HTTP/1.1\r\nHost: h\r\nX: " + value + "\r\n\r\n"};
+    REQUIRE(reader.consume(input.get()) == read_status::complete);
+    CHECK(reader.message().headers.back().value == value);
+
+    SECTION("and trailers still end at the parser's limit") {
+        http_reader chunks{http_kind::request, {.max_header_bytes = 2 * header_bytes}};
+        const text_buffer endless{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+                                  value};
+        CHECK(chunks.consume(endless.get()) == read_status::malformed);
+    }
+}
+
 TEST_CASE("a response without end stops at a bound") {
     constexpr http_reader_options limits{.max_header_bytes = 4096, .max_body_bytes = 8192};
     http_reader reader{http_kind::response, limits};
