Take an announced keep-alive of zero for one

What callers saw: not seen by callers. A connection whose server announces that it keeps none idle was used again, where its next request meets a reset.

Cause: zero was the mark for a response without the announcement; a number of seconds beyond the clock overflowed.

Change: the announcement is optional, and limited to the longest time that settings hold.

Measured: the new section of http_test fails on the code before (1 of 63 checks) and passes now.

--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -19,18 +19,23 @@
 constexpr std::uint32_t max_discarded_responses = 16;
 constexpr std::size_t max_carried_ids = 256; // of one connection, which is then replaced
 
-// The idle timeout that the server announced in its Keep-Alive header; zero if there is none.
-[[nodiscard]] microseconds announced_idle_timeout(const std::vector<header>& headers) {
+// The idle timeout that the server announced in its Keep-Alive header; nothing if there is none.
+[[nodiscard]] std::optional<microseconds> announced_idle_timeout(const std::vector<header>& headers) {
     constexpr std::string_view parameter = "timeout=";
+    constexpr std::int64_t longest_seconds =
+        std::chrono::floor<std::chrono::seconds>(longest_setting).count();
     const auto value = find_header(headers, "keep-alive");
     const auto found = value.find(parameter);
     if (found == std::string_view::npos) {
-        return microseconds::zero();
+        return std::nullopt;
     }
     std::int64_t seconds = 0;
     const auto digits = value.substr(found + parameter.size());
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return parsed.ec == std::errc{} ? microseconds{std::chrono::seconds{seconds}} : microseconds::zero();
+    if (parsed.ec != std::errc{} || seconds < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds{std::min(seconds, longest_seconds)};
 }
 
 } // namespace
@@ -169,8 +174,8 @@
                               this->carried_ids.size() < max_carried_ids &&
                               evbuffer_get_length(this->input()) == 0;
         const auto announced_timeout = announced_idle_timeout(response.headers);
-        if (announced_timeout > microseconds::zero()) {
-            this->idle_limit = std::min(this->idle_limit, announced_timeout / 2);
+        if (announced_timeout) {
+            this->idle_limit = std::min(this->idle_limit, *announced_timeout / 2);
         }
         this->last_used = monotonic_clock::now();
         auto& ended_exchange = *std::exchange(this->current_exchange, nullptr);
--- a/test/chervilturn/transport/http_test.cpp
+++ b/test/chervilturn/transport/http_test.cpp
@@ -176,6 +176,15 @@
         send();
         REQUIRE(wait_for(loop, [&] { return server.accepted() == 2; }));
     }
+    SECTION("and does not reuse a connection whose server announces that it keeps none idle") {
+        send();
+        REQUIRE(wait_for(loop, [&] { return !server.received().empty(); }));
+        server.write("HTTP/1.1 200 OK\r\nid: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok");
+        REQUIRE(wait_for(loop, [&] { return outcome.has_value(); }));
+        outcome.reset();
+        send("2");
+        REQUIRE(wait_for(loop, [&] { return server.accepted() == 2; }));
+    }
     SECTION("a refusal without a mark is not taken for the answer to the next request") {
         const std::string refusal = "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
         send();
