Accept settings with the bounds that the platform may state

What callers saw: not seen by callers; found on the related paths.

Cause: ranges and whole numbers of our own, and a zero that marked an absent section.

Change: the two figures are numbers with a fraction, the ranges of grace time, ratio and overshoot are wide, and the section for retries is optional; a grace time below a second ends half way. Marked values in read_shutdown_grace are gone.

Measured: node_settings_test fails on the code before on the fractions (the ratio's check needs the new type, so that it was not run there) and passes now.

--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -15,24 +15,31 @@
 // the random delay of the start, a new connection and the pages.
 constexpr microseconds own_reading_allowance = std::chrono::milliseconds{500};
 constexpr std::int64_t hour_in_milliseconds = 3'600'000;
+constexpr double bytes_in_mb = 1 << 20;
+constexpr double max_memory_mb = 1 << 30;
 constexpr std::int64_t day_in_milliseconds = 24 * hour_in_milliseconds; // longest time between nodes
 // Between the end of the grace time and the kill, for the process to end by itself.
 constexpr microseconds kill_margin = std::chrono::milliseconds{500};
 
+// A time in a unit, with a fraction or without. The longest one is a day.
+[[nodiscard]] microseconds read_duration(object_reader& reader, const char* key, microseconds unit,
+                                         microseconds fallback) {
+    const std::chrono::duration<double> seconds_in_unit{unit};
+    const std::chrono::duration<double> longest{std::chrono::hours{24}};
+    const auto units = reader.number_or(key, {0.0, longest / seconds_in_unit}, fallback / seconds_in_unit);
+    return std::chrono::round<microseconds>(units * seconds_in_unit);
+}
+
 // The grace time, stated itself or by the time after which whoever stops the process kills it.
 [[nodiscard]] microseconds read_shutdown_grace(object_reader& reader, microseconds fallback) {
-    constexpr double unset = 0.0;
-    constexpr microseconds absent{-1};
-    const auto kill_seconds = reader.number_or("shutdown_kill_s", {1.0, 3600.0}, unset);
-    const auto grace = reader.milliseconds_or("shutdown_grace_ms", {0, hour_in_milliseconds}, absent);
-    if (kill_seconds == unset) {
-        return grace == absent ? fallback : grace;
+    if (!reader.has("shutdown_kill_s")) {
+        return reader.milliseconds_or("shutdown_grace_ms", {0, hour_in_milliseconds}, fallback);
     }
-    if (grace != absent) {
+    if (reader.has("shutdown_grace_ms")) {
         reader.reject("shutdown_kill_s", "absent beside shutdown_grace_ms");
     }
-    return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>{kill_seconds}) -
-           kill_margin;
+    const auto kill_after = read_duration(reader, "shutdown_kill_s", std::chrono::seconds{1}, fallback);
+    return std::max(kill_after / 2, kill_after - kill_margin);
 }
 
 [[nodiscard]] std::string milliseconds_text(microseconds span) {
@@ -45,10 +52,9 @@
         "max_header_bytes", {1024, 1 << 20}, static_cast<std::int64_t>(limits.max_header_bytes)));
     limits.max_body_bytes = static_cast<std::size_t>(reader.integer_or(
         "max_body_bytes", {1024, 64 << 20}, static_cast<std::int64_t>(limits.max_body_bytes)));
-    limits.memory_bytes =
-        static_cast<std::size_t>(reader.integer_or("memory_mb", {16, 1 << 20},
-                                                   static_cast<std::int64_t>(limits.memory_bytes >> 20U)))
-        << 20U;
+    limits.memory_bytes = static_cast<std::size_t>(
+        reader.number_or("memory_mb", {16.0, max_memory_mb}, limits.memory_bytes / bytes_in_mb) *
+        bytes_in_mb);
     limits.max_calls = static_cast<std::size_t>(
         reader.integer_or("max_calls", {1, 1'000'000}, static_cast<std::int64_t>(limits.max_calls)));
     limits.max_pipelined_requests = static_cast<std::size_t>(reader.integer_or(
@@ -79,14 +85,14 @@
 
 [[nodiscard]] retry_limits read_fleet_retries(object_reader& reader) {
     retry_limits fleet_limits;
-    fleet_limits.ratio = reader.number_or("ratio", {0.0, 1.0}, fleet_limits.ratio);
+    fleet_limits.ratio = reader.number_or("ratio", {0.0, 1e6}, fleet_limits.ratio);
     fleet_limits.slack = reader.number_or("slack", {0.0, 1e6}, fleet_limits.slack);
     return fleet_limits;
 }
 
 [[nodiscard]] cold_allowance read_cold_allowance(object_reader& reader) {
     cold_allowance allowance;
-    allowance.overshoot = reader.number_or("overshoot", {1.0, 100.0}, allowance.overshoot);
+    allowance.overshoot = reader.number_or("overshoot", {1.0, 1e6}, allowance.overshoot);
     allowance.slack = reader.number_or("slack", {0.0, 1e6}, allowance.slack);
     return allowance;
 }
@@ -113,7 +119,7 @@
     if (reading.parent_ping >= reading.parent_suspect) {
         reader.reject("parent_ping_ms", "less than parent_suspect_ms");
     }
-    reading.apply = reader.milliseconds_or("apply_ms", {10, hour_in_milliseconds}, reading.apply);
+    reading.apply = read_duration(reader, "apply_ms", std::chrono::milliseconds{1}, reading.apply);
     check_apply_time(reader, reading);
     return reading;
 }
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -42,7 +42,7 @@
 
 /// @brief Limits of the whole fleet on retries, by target service.
 struct retry_limits {
-    double ratio = 0.0; // retries per first attempt; 0: the workspace's retry budget applies instead
+    double ratio = 0.0; // retries per first attempt
     double slack = 0.0; // burst of retries beyond the ratio, summed over all nodes
 };
 
@@ -83,7 +83,7 @@
     node_limits limits;
     probe_limits probes;
     reading_options reading;
-    retry_limits fleet_retries;
+    std::optional<retry_limits> fleet_retries; // nothing: each workspace's retry budget applies
     cold_allowance cold_servers;
     std::string service;                             // of the backend server; empty when not configured
     std::map<std::string, std::string> data_centres; // configured region of each data centre, by name
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -484,11 +484,10 @@
 
 retry_budget& entry_task::retry_budget_for(const call& original, std::uint32_t retry_percent) {
     const auto& fleet_limits = this->context->settings.fleet_retries;
-    const bool fleet_limited = fleet_limits.ratio > 0.0;
-    const auto options = fleet_limited ? node_retry_options(fleet_limits.ratio, fleet_limits.slack,
-                                                            this->settings->hosts.size())
-                                       : retry_options{.earned_per_call = retry_percent / percent};
-    const auto name = original.team + '/' + (fleet_limited ? original.service : original.workspace);
+    const auto options = fleet_limits ? node_retry_options(fleet_limits->ratio, fleet_limits->slack,
+                                                           this->settings->hosts.size())
+                                      : retry_options{.earned_per_call = retry_percent / percent};
+    const auto name = original.team + '/' + (fleet_limits ? original.service : original.workspace);
     auto& budget = this->retry_budgets.try_emplace(name, retry_budget{options}).first->second;
     budget.configure(options);
     this->context->stats->gauges().retry_budget_left[name] = budget.left();
--- a/test/chervilturn/config/node_settings_test.cpp
+++ b/test/chervilturn/config/node_settings_test.cpp
@@ -43,6 +43,30 @@
               .find("limits.shutdown_kill_s") != std::string::npos);
 }
 
+// Guards against a process that does not start, or lets retries through without a limit, on a bound that its
+// platform may state.
+TEST_CASE("bounds that a platform fills in may have fractions and be zero") {
+    const auto settings_of = [](const std::string& members) {
+        const auto parsed = parse_node_settings(settings_with(members), "node.json");
+        CAPTURE(members);
+        REQUIRE(succeeded(parsed));
+        return value_of(parsed);
+    };
+    CHECK(settings_of(R"(, "reading": {"apply_ms": 4000.5})").reading.apply ==
+          std::chrono::microseconds{4'000'500});
+    CHECK(settings_of(R"(, "limits": {"memory_mb": 260.5})").limits.memory_bytes == 521UL << 19U);
+    CHECK(settings_of(R"(, "limits": {"shutdown_kill_s": 0.5})").limits.shutdown_grace ==
+          std::chrono::milliseconds{250});
+    CHECK(settings_of(R"(, "repeats": {"ratio": 1.5, "slack": 62.5})").fleet_retries->ratio == 1.5);
+
+    SECTION("a ratio of zero is a limit, and no section is none") {
+        const auto limits = settings_of(R"(, "repeats": {"ratio": 0, "slack": 8})").fleet_retries;
+        REQUIRE(limits);
+        CHECK(limits->ratio == 0.0);
+        CHECK_FALSE(settings_of("").fleet_retries);
+    }
+}
+
 TEST_CASE("the stages of finding a failed source of settings fit into the time for a change") {
     CHECK(error_of_text(settings_with(R"(, "reading": {"apply_ms": 2500, "wait_ms": 1000, "pause_ms": 300,
                                           "parent_ping_ms": 600, "parent_suspect_ms": 1100})")) ==
