Take a cut watch for no failure, and end grace times by a timer

Cause: a cut watch counted as a failure of the store, so that the removal got the grace time of entries that lapse while the store is away; and that time's end was noticed with the store's next answer only.

Change: a cut watch is asked again at once, and only if that call fails too the store has failed. A timer ends the grace time and reports to the watch that waits. No grace time ends while the store fails, and a further failure begins it anew.

--- a/src/chervilturn/membership/removal_grace.hpp
+++ b/src/chervilturn/membership/removal_grace.hpp
@@ -6,6 +6,7 @@
 #include "chervilturn/core/time.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,15 +17,18 @@
     microseconds grace_period = std::chrono::milliseconds{2300}; // expired registrations reappear within it
 };
 
-/// @brief Delays removals for a grace period after the platform has recovered from a failure.
+/// @brief Delays removals for a grace period after the platform has recovered from a failure. A pending
+/// removal waits for the platform while that fails again, and for a whole period from its next answer.
 class removal_grace {
   public:
     explicit removal_grace(const removal_grace_options& grace_options = {}) : options{grace_options} {}
 
+    /// @brief The platform could not be reached, or did not serve. A single lost call is no such failure if
+    /// the next one is answered.
     void on_platform_failed() noexcept { this->failing = true; }
 
     /// @brief The platform answered. The first answer after a failure starts the grace period.
-    void on_platform_answered(instant now) noexcept;
+    void on_platform_answered(instant now);
 
     /// @brief A registration disappeared. Returns true when it counts as removed immediately, false when the
     /// removal is pending until the grace period ends.
@@ -33,9 +37,13 @@
     /// @brief A registration is present: cancels its pending removal.
     void on_present(const std::string& name) { this->pending.erase(name); }
 
-    /// @brief Removes and returns the names whose grace period has ended; they count as removed.
+    /// @brief Removes and returns the names whose grace period has ended; they count as removed. None while
+    /// the platform fails.
     [[nodiscard]] std::vector<std::string> take_expired(instant now);
 
+    /// @brief When the first pending removal counts; nothing when there is none, or while the platform fails.
+    [[nodiscard]] std::optional<instant> next_expiry() const;
+
     /// @brief Names of the pending removals.
     [[nodiscard]] std::vector<std::string> pending_names() const;
 
--- a/test/chervilturn/membership/removal_grace_test.cpp
+++ b/test/chervilturn/membership/removal_grace_test.cpp
@@ -28,6 +28,16 @@
             CHECK(grace.take_expired(start + 2s) == std::vector<std::string>{"a"});
             CHECK(grace.pending_count() == 0);
         }
+        SECTION("and, when the platform fails again meanwhile, only a whole grace period after that") {
+            CHECK(grace.next_expiry() == start + 2s);
+            grace.on_platform_failed();
+            CHECK_FALSE(grace.next_expiry());
+            CHECK(grace.take_expired(start + 5s).empty());
+            grace.on_platform_answered(start + 9s);
+            CHECK(grace.take_expired(start + 10s).empty());
+            CHECK(grace.next_expiry() == start + 11s);
+            CHECK(grace.take_expired(start + 11s) == std::vector<std::string>{"a"});
+        }
         SECTION("but an entry that disappears after the grace period is removed immediately") {
             CHECK(grace.on_removed("b", start + 3s));
         }
