Read the size limits of callers when a request begins

Cause: a connection's reader copied the limits when it was accepted.

Change: the reader gets the limits of the moment at which a request begins; one that is being read keeps its own.

--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -140,7 +140,8 @@
     http_server& operator=(const http_server&) = delete;
     ~http_server();
 
-    /// @brief Replaces the options. Timeouts also apply to open connections, size limits only to new ones.
+    /// @brief Replaces the options, also of open connections. A request that is being read keeps the size
+    /// limits with which it began.
     void configure(const http_server_options& new_options) noexcept { this->options = new_options; }
 
     /// @brief Closes each connection after the response to the last request that is being processed on it, or
--- a/src/chervilturn/transport/http_reader.hpp
+++ b/src/chervilturn/transport/http_reader.hpp
@@ -54,6 +54,9 @@
     /// @brief Prepares for the next message. With head_response, it is a response to HEAD and has no body.
     void reset(bool head_response = false);
 
+    /// @brief Changes the limits; to be called between two messages.
+    void configure(const http_reader_options& new_options) noexcept { this->options = new_options; }
+
     /// @brief Whether the head of the current message was read.
     [[nodiscard]] bool head_complete() const noexcept { return this->head_done; }
 
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -36,9 +36,7 @@
 class server_connection final : public http_stream, public std::enable_shared_from_this<server_connection> {
   public:
     server_connection(http_server& owner, int socket)
-        : http_stream{*owner.loop, socket}, server{&owner}, reader{http_kind::request,
-                                                                   {owner.options.max_header_bytes,
-                                                                    owner.options.max_body_bytes}},
+        : http_stream{*owner.loop, socket}, server{&owner}, reader{http_kind::request, {}},
           pipeline{owner.options.pipeline}, idle_since{monotonic_clock::now()} {
         if (owner.closing) {
             this->pipeline.close();
@@ -143,6 +141,8 @@
                 return false;
             }
             this->reading_since = now;
+            this->reader.configure(
+                {this->server->options.max_header_bytes, this->server->options.max_body_bytes});
             this->request_arrived = std::exchange(this->input_since, std::nullopt).value_or(now);
         }
         return this->consume();
--- a/test/chervilturn/transport/http_server_test.cpp
+++ b/test/chervilturn/transport/http_server_test.cpp
@@ -228,6 +228,57 @@
     }
 }
 
+// Guards against requests that are refused by limits which no longer hold, on a connection that was open
+// before.
+TEST_CASE("changed limits hold for the next request of an open connection") {
+    constexpr http_server_options narrow{.max_header_bytes = 256, .max_body_bytes = 10};
+    constexpr http_server_options wide{.max_header_bytes = 4096, .max_body_bytes = 1000};
+    const std::string body(500, 'b');
+    const auto upload = [&body](const std::string& target) {
+        return "PUT " + target + " HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') +
+               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    pipelining_fixture fixture{narrow};
+    fixture.post("/first");
+    REQUIRE(fixture.wait_for_requests(1));
+    fixture.respond("/first");
+    REQUIRE(fixture.wait_for_response("/first"));
+
+    SECTION("wider ones let a larger request in") {
+        fixture.server->configure(wide);
+        fixture.client->write(upload("/second"));
+        REQUIRE(fixture.wait_for_requests(2));
+        CHECK(fixture.exchanges.back()->request().body == body);
+    }
+    SECTION("also behind requests that wait for their responses") {
+        fixture.get("/waiting");
+        REQUIRE(fixture.wait_for_requests(2));
+        fixture.server->configure(wide);
+        fixture.client->write(upload("/second"));
+        fixture.respond("/waiting");
+        REQUIRE(fixture.wait_for_requests(3));
+        CHECK(fixture.exchanges.back()->request().body == body);
+    }
+    SECTION("narrower ones leave a request that is being read its own, and refuse the next") {
+        fixture.server->configure(wide);
+        auto text = upload("/second");
+        text.insert(text.find("X: "), "Expect: 100-continue\r\n");
+        const auto body_at = text.size() - body.size();
+        fixture.client->write(text.substr(0, body_at));
+        REQUIRE(wait_for(fixture.loop, [&] {
+            return fixture.client->received().find("100 Continue") != std::string::npos;
+        }));
+        fixture.server->configure(narrow);
+        fixture.client->write(text.substr(body_at));
+        REQUIRE(fixture.wait_for_requests(2));
+        fixture.respond("/second");
+        REQUIRE(fixture.wait_for_response("/second"));
+        fixture.client->write(upload("/third"));
+        REQUIRE(fixture.wait_for_end());
+        CHECK(fixture.client->received().find("HTTP/1.1 431") != std::string::npos);
+    }
+}
+
 TEST_CASE("many requests at once, each answered immediately, do not nest") {
     event_loop loop;
     const auto server_address = test::free_address();
