Read the store's revisions wherever its counter starts

What callers saw: not seen by callers; found on the related paths.

Cause: a bound that eras after a restoration need was asked of every revision.

Change: in the first era, or without eras, revisions are up to 2^62; in later eras the bound stays.

--- a/src/chervilturn/config/leaf.hpp
+++ b/src/chervilturn/config/leaf.hpp
@@ -17,9 +17,11 @@
     settled  // of the restored copy, after nobody wrote the newer state again
 };
 
-/// @brief Highest era and highest revision of a platform that revision_in_era accepts.
+/// @brief Highest era and highest revision of a platform that revision_in_era accepts. A revision of the first
+/// era may be higher than that of later ones; a platform that gave it out must not be restored from a copy.
 inline constexpr std::uint64_t max_era = (1ULL << 20U) - 1;
 inline constexpr std::uint64_t max_platform_revision = (1ULL << 38U) - 1;
+inline constexpr std::uint64_t max_first_era_revision = (1ULL << 62U) - 1;
 
 /// @brief The order of a change in an era of the platform. A platform that is restored from a copy begins a
 /// new era, in which it gives out revisions again. The first era is 1; 0 stands for a platform without eras.
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -129,6 +129,15 @@
     CHECK(value_of(page).revision == 6);
     CHECK(value_of(page).items[0].value == "{}");
     CHECK(value_of(page).items[1].removed);
+    SECTION("whatever the revision at which the store's counter starts") {
+        const std::string body = R"({"events":[{"key":"servers/i-1","rev":1800000000000001,"removed":true}],
+                                     "at_rev":1800000000000001})";
+        const auto high = decode_page({.status = 200, .headers = {}, .body = body});
+        REQUIRE(succeeded(high));
+        CHECK(value_of(high).revision == 1'800'000'000'000'001);
+        CHECK(error_of(decode_page({.status = 200, .headers = {{"Store-Era", "2"}}, .body = body})).failure ==
+              store_failure::malformed_response);
+    }
     CHECK(error_of(decode_page({.status = 410, .headers = {}, .body = {}})).failure ==
           store_failure::history_lost);
     CHECK(error_of(decode_page({.status = 429, .headers = {}, .body = {}})).failure ==
