Publish unusual configurations in the soak

Change: each version has a service with a fractional cold rate, a long cold start and an empty path for checks, and a route with a long timeout, many attempts, a doubled region, weights with a fraction, or one that cannot be read.

--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -40,6 +40,31 @@
     return {name, route_host, prefix, kind, timeout_ms, 500, 1, service, 2, homes, nullptr};
 }
 
+// A route that no caller uses, with a value that a store may accept and few settings expect. Each fifth one
+// cannot be read.
+[[nodiscard]] json make_odd_route_row(std::uint32_t version) {
+    auto row = make_route_row("odd", "/odd/", "safe", 1500, "leaf-svc", json::array());
+    constexpr std::uint32_t kinds = 5;
+    switch (version % kinds) {
+    case 0:
+        row[4] = 7'200'000.5;
+        break;
+    case 1:
+        row[8] = 1'000'000;
+        break;
+    case 2:
+        row[9] = {"north", "north"};
+        break;
+    case 3:
+        row[7] = nullptr;
+        row[10] = {{{"service", "leaf-svc"}, {"weight", 0.25}}, {{"service", "record-svc"}, {"weight", 0.5}}};
+        break;
+    default:
+        row[9] = "everywhere";
+    }
+    return row;
+}
+
 constexpr int memory_limit_mb = 260; // of a host
 
 void replace_all(std::string& text, const std::string& from, const std::string& to) {
@@ -381,7 +406,8 @@
     for (const auto& row : rows) {
         this->checker->on_service_allowed(row[0].get<std::string>(), row[7].get<std::string>());
     }
-    auto services = json::array();
+    rows.push_back(make_odd_route_row(next_version));
+    auto services = json::array({{"odd-svc", "", 260, 7200.5, 0.6}});
     for (const auto* name : {"lookup-svc", "record-svc", "leaf-svc"}) {
         services.push_back({name, "/health", 260, 3.0, this->options.limits.cold_per_second});
     }
