--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -52,9 +52,10 @@
         "max_header_bytes", {1024, 1 << 20}, static_cast<std::int64_t>(limits.max_header_bytes)));
     limits.max_body_bytes = static_cast<std::size_t>(reader.integer_or(
         "max_body_bytes", {1024, 64 << 20}, static_cast<std::int64_t>(limits.max_body_bytes)));
-    limits.memory_bytes = static_cast<std::size_t>(
-        reader.number_or("memory_mb", {16.0, max_memory_mb}, limits.memory_bytes / bytes_in_mb) *
-        bytes_in_mb);
+    limits.memory_bytes =
+        static_cast<std::size_t>(reader.number_or("memory_mb", {16.0, max_memory_mb},
+                                                  static_cast<double>(limits.memory_bytes) / bytes_in_mb) *
+                                 bytes_in_mb);
     limits.max_calls = static_cast<std::size_t>(
         reader.integer_or("max_calls", {1, 1'000'000}, static_cast<std::int64_t>(limits.max_calls)));
     limits.max_pipelined_requests = static_cast<std::size_t>(reader.integer_or(
--- a/test/platform/configuration_in_force_test.cpp
+++ b/test/platform/configuration_in_force_test.cpp
@@ -163,7 +163,7 @@
     }
 
     std::string register_server(const std::string& service) {
-        const auto id = "i-" + std::to_string(++this->server_count);
+        auto id = "i-" + std::to_string(++this->server_count);
         this->store.put("servers/" + id,
                         json{{"address", "127.0.1." + std::to_string(this->server_count) + ":8328"},
                              {"info", {{"service", service}, {"zone", "dakar-a"}, {"slots", 6}}},
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -170,27 +170,23 @@
         const auto limited = callers.read({&settings, &node}, http_request{long_request});
         CHECK(value_of(limited).original_call.remaining == 1500ms);
     }
+    const auto read_with_deadline = [&](const char* text) {
+        auto request = sample_request("/x/1");
+        request.headers[2].value = text;
+        return callers.read({&settings, &node}, std::move(request));
+    };
     SECTION("its deadline may have a fraction, and be longer than any clock") {
-        auto fractional = sample_request("/x/1");
-        fractional.headers[2].value = "800.5";
-        CHECK(value_of(callers.read({&settings, &node}, std::move(fractional))).original_call.remaining ==
-              800'500us);
-        auto endless = sample_request("/x/1");
-        endless.headers[2].value = "99999999999999999999";
-        CHECK(value_of(callers.read({&settings, &node}, std::move(endless))).original_call.remaining ==
-              1500ms);
+        CHECK(value_of(read_with_deadline("800.5")).original_call.remaining == 800'500us);
+        CHECK(value_of(read_with_deadline("99999999999999999999")).original_call.remaining == 1500ms);
         for (const auto* text : {"-1", "+1", "soon", "1e3", "800ms"}) {
-            auto unreadable = sample_request("/x/1");
-            unreadable.headers[2].value = text;
-            CHECK(error_of(callers.read({&settings, &node}, std::move(unreadable))).status == 400);
+            CHECK(error_of(read_with_deadline(text)).status == 400);
         }
     }
     SECTION("without a deadline it has the time of its route") {
         auto without_deadline = sample_request("/x/1");
         without_deadline.headers.erase(without_deadline.headers.begin() + 2);
-        CHECK(
-            value_of(callers.read({&settings, &node}, std::move(without_deadline))).original_call.remaining ==
-            1500ms);
+        const auto read = callers.read({&settings, &node}, std::move(without_deadline));
+        CHECK(value_of(read).original_call.remaining == 1500ms);
     }
     SECTION("it is refused when no route matches or no configuration is loaded") {
         CHECK(error_of(callers.read({&settings, &node}, sample_request("/none/"))).status == 404);
