--- a/src/chervilturn/config/leaf.hpp
+++ b/src/chervilturn/config/leaf.hpp
@@ -17,8 +17,9 @@
     settled  // of the restored copy, after nobody wrote the newer state again
 };
 
-/// @brief Highest era and highest revision of a platform that revision_in_era accepts. A revision of the first
-/// era may be higher than that of later ones; a platform that gave it out must not be restored from a copy.
+/// @brief Highest era and highest revision of a platform that revision_in_era accepts. A revision of the
+/// first era may be higher than that of later ones; a platform that gave it out must not be restored from a
+/// copy.
 inline constexpr std::uint64_t max_era = (1ULL << 20U) - 1;
 inline constexpr std::uint64_t max_platform_revision = (1ULL << 38U) - 1;
 inline constexpr std::uint64_t max_first_era_revision = (1ULL << 62U) - 1;
