--- /dev/null
+++ b/test/crowd/chunks_without_end.lua
@@ -0,0 +1,12 @@
+-- Guards against a node that reads every body up to the limit at the same time: clients send chunks far beyond it.
+dofile(script_folder() .. "/lib/crowd.lua")
+local f = crowd_fleet { memory_mb = 64, max_body_bytes = 4194304 }
+local crowd = crowd_at_entry(f, { clients = 60,
+  head = request_head("POST", "/upload?ms=1", "Transfer-Encoding: chunked"),
+  block = "10000\r\n" .. string.rep("x", 65536) .. "\r\n", block_count = 200 })
+wait_until_quiet(f, crowd)
+check_processes(f)
+check_ordinary_request(f)
+end_crowd(crowd)
+check_ordinary_request(f)
+check_processes(f)
--- a/test/support/processes.cpp
+++ b/test/support/processes.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,6 +27,24 @@
     return pattern;
 }
 
+// Sets the limit of open files that a started process inherits, and restores it.
+class descriptor_limit {
+  public:
+    explicit descriptor_limit(std::size_t most) {
+        getrlimit(RLIMIT_NOFILE, &this->restored);
+        if (most > 0) {
+            const rlimit lowered{.rlim_cur = most, .rlim_max = this->restored.rlim_max};
+            setrlimit(RLIMIT_NOFILE, &lowered);
+        }
+    }
+    descriptor_limit(const descriptor_limit&) = delete;
+    descriptor_limit& operator=(const descriptor_limit&) = delete;
+    ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &this->restored); }
+
+  private:
+    rlimit restored{};
+};
+
 } // namespace
 
 processes::processes(std::string build_folder)
@@ -79,6 +98,7 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t process = 0;
+    const descriptor_limit limit{this->max_descriptors};
     const int error = posix_spawn(&process, argv.front(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
--- a/test/support/processes.hpp
+++ b/test/support/processes.hpp
@@ -32,6 +32,10 @@
     /// be started.
     [[nodiscard]] pid_t spawn(const std::vector<std::string>& arguments, const std::string& log_name);
 
+    /// @brief The processes that are started from now on may have this many open files; 0: as many as this
+    /// one.
+    void limit_descriptors(std::size_t most) noexcept { this->max_descriptors = most; }
+
     /// @brief Sends a signal; does nothing for a process whose exit code was already read.
     void signal(pid_t process, int number) const;
 
@@ -49,6 +53,7 @@
     std::string program_folder;
     std::string output_folder;
     bool keep_output = false;
+    std::size_t max_descriptors = 0;
     std::vector<int> reserved_sockets; // bound but not listening, one for each port
     std::set<pid_t> running;           // started, exit code not read yet
     std::map<pid_t, int> exit_codes;
--- a/test/support/scenario_host.cpp
+++ b/test/support/scenario_host.cpp
@@ -1,4 +1,4 @@
-// HTTP requests of scenario scripts.
+// HTTP requests and crowds of scenario scripts.
 #include "support/scenario_host.hpp"
 
 namespace chervilturn::test {
@@ -24,6 +24,12 @@
     return found == this->results.end() ? nullptr : &found->second;
 }
 
+std::uint64_t scenario_host::start_crowd(crowd_options options) {
+    const auto number = ++this->last_number;
+    this->crowds.emplace(number, std::make_unique<crowd>(this->loop, std::move(options)));
+    return number;
+}
+
 void scenario_host::run_events(microseconds max_duration) {
     timer limit{this->loop, [this] { this->loop.stop(); }};
     limit.start_once(max_duration);
--- a/test/support/scenario_host.hpp
+++ b/test/support/scenario_host.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "chervilturn/transport/http.hpp"
+#include "support/crowd.hpp"
 #include "support/processes.hpp"
 
 #include <map>
@@ -22,6 +23,14 @@
     /// @brief The response to a request or its failure; null while the request is in progress.
     [[nodiscard]] const http_result* result_of(std::uint64_t number) const;
 
+    /// @brief Starts a crowd; returns the number by which crowd_of finds it.
+    [[nodiscard]] std::uint64_t start_crowd(crowd_options options);
+
+    [[nodiscard]] const crowd& crowd_of(std::uint64_t number) const { return *this->crowds.at(number); }
+
+    /// @brief Ends the connections of a crowd.
+    void end_crowd(std::uint64_t number) { this->crowds.erase(number); }
+
     /// @brief Runs the event loop until any request ends or max_duration has passed.
     void run_events(microseconds max_duration);
 
@@ -29,6 +38,7 @@
     event_loop loop;
     std::map<address, std::unique_ptr<http_client>> clients;
     std::map<std::uint64_t, http_result> results;
+    std::map<std::uint64_t, std::unique_ptr<crowd>> crowds;
     std::uint64_t last_number = 0;
 };
 
--- a/test/support/scenario_main.cpp
+++ b/test/support/scenario_main.cpp
@@ -143,6 +143,58 @@
     return 0;
 }
 
+// limit_descriptors(most): how many open files the processes that are started from now on may have.
+int lua_limit_descriptors(lua_State* lua) {
+    host_of(lua).limit_descriptors(static_cast<std::size_t>(luaL_checkinteger(lua, 1)));
+    return 0;
+}
+
+// descriptor_count(process_id): the descriptors that a process has open.
+int lua_descriptor_count(lua_State* lua) {
+    const auto folder = "/proc/" + std::to_string(luaL_checkinteger(lua, 1)) + "/fd";
+    const std::filesystem::directory_iterator entries{folder};
+    lua_pushinteger(lua, std::distance(begin(entries), end(entries)));
+    return 1;
+}
+
+// start_crowd{address=, clients=, head=, block=, block_count=, tail=, reading=}: starts a crowd, see
+// test/support/crowd.hpp; returns its number. reading is all (the default), slow or none.
+int lua_start_crowd(lua_State* lua) {
+    luaL_checktype(lua, 1, LUA_TTABLE);
+    const std::map<std::string, crowd_reading> ways{
+        {"all", crowd_reading::all}, {"slow", crowd_reading::slow}, {"none", crowd_reading::none}};
+    lua_pushinteger(lua, static_cast<lua_Integer>(host_of(lua).start_crowd(
+                             {.server = parse_address(text_field(lua, 1, "address", "")).value(),
+                              .clients = std::stoul(text_field(lua, 1, "clients", "0")),
+                              .head = text_field(lua, 1, "head", ""),
+                              .block = text_field(lua, 1, "block", ""),
+                              .block_count = std::stoul(text_field(lua, 1, "block_count", "0")),
+                              .tail = text_field(lua, 1, "tail", ""),
+                              .reading = ways.at(text_field(lua, 1, "reading", "all"))})));
+    return 1;
+}
+
+// crowd_state(number): a table with open, sent_all, quiet_ms, answered and answers (clients by status).
+int lua_crowd_state(lua_State* lua) {
+    const auto found = host_of(lua).crowd_of(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1))).state();
+    std::size_t answered = 0;
+    for (const auto& [status, count] : found.answers) {
+        answered += count;
+    }
+    push_json(lua, {{"open", found.open},
+                    {"sent_all", found.sent_all},
+                    {"quiet_ms", found.quiet_for.count() / 1000},
+                    {"answered", answered},
+                    {"answers", found.answers}});
+    return 1;
+}
+
+// end_crowd(number): ends the connections of a crowd.
+int lua_end_crowd(lua_State* lua) {
+    host_of(lua).end_crowd(static_cast<std::uint64_t>(luaL_checkinteger(lua, 1)));
+    return 0;
+}
+
 // parse_json(text): the value as Lua tables, strings, numbers and booleans; nil for text that is not valid
 // JSON.
 int lua_parse_json(lua_State* lua) {
@@ -198,6 +250,11 @@
                                                          {"request", lua_start_request},
                                                          {"http_result", lua_http_result},
                                                          {"run_event_loop", lua_run_event_loop},
+                                                         {"limit_descriptors", lua_limit_descriptors},
+                                                         {"descriptor_count", lua_descriptor_count},
+                                                         {"start_crowd", lua_start_crowd},
+                                                         {"crowd_state", lua_crowd_state},
+                                                         {"end_crowd", lua_end_crowd},
                                                          {"parse_json", lua_parse_json},
                                                          {"write_file", lua_write_file},
                                                          {"now", lua_now},
