Share a request's body between its holders

Cause: a body was copied for the call, for each attempt, for the frame, for the request to the backend server and for the output of its connection; an answer for each step from the entry's record to the socket.

Change: shared_body, which copies share; long bodies are referenced in output buffers; an answer is moved on its way to the client; a frame is reserved at its size. No behaviour changes.

--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -1,6 +1,7 @@
 // Calls, attempts and answers that tasks and nodes exchange.
 #pragma once
 
+#include "chervilturn/call/shared_body.hpp"
 #include "chervilturn/core/byte_budget.hpp"
 #include "chervilturn/core/time.hpp"
 
@@ -122,7 +123,7 @@
     std::string method;
     std::string target;
     std::vector<header> headers;
-    std::string body;
+    shared_body body;
     std::size_t withheld_bytes = 0; // size of the body that the entry keeps; 0: body is complete
 };
 
--- a/src/chervilturn/call/fwd.hpp
+++ b/src/chervilturn/call/fwd.hpp
@@ -5,6 +5,7 @@
 
 struct attempt_id;
 struct header;
+class shared_body;
 struct call;
 struct load_report;
 struct answer;
--- a/src/chervilturn/call/request_fingerprint.cpp
+++ b/src/chervilturn/call/request_fingerprint.cpp
@@ -44,8 +44,9 @@
 
 request_fingerprint fingerprint_of(const call& received) {
     sha256 hash;
-    for (const auto& field :
-         {received.service, received.method, received.target, received.origin, received.body}) {
+    for (const std::string_view field :
+         {std::string_view{received.service}, std::string_view{received.method},
+          std::string_view{received.target}, std::string_view{received.origin}, received.body.text()}) {
         hash.add(field);
     }
     return hash.finish();
--- a/src/chervilturn/node/entry_call.cpp
+++ b/src/chervilturn/node/entry_call.cpp
@@ -45,10 +45,11 @@
     return sent;
 }
 
-retry_action entry_call::end_attempt(const answer& ended, const attempt_limits& limits, retry_budget& budget,
+retry_action entry_call::end_attempt(answer received, const attempt_limits& limits, retry_budget& budget,
                                      instant now) {
     this->current_attempt.reset();
-    this->last_answer = ended;
+    this->last_answer = std::move(received);
+    const auto& ended = this->last_answer;
     if (ended.retry_after > microseconds::zero() && (this->shortest_retry_after == microseconds::zero() ||
                                                      ended.retry_after < this->shortest_retry_after)) {
         this->shortest_retry_after = ended.retry_after;
--- a/src/chervilturn/node/entry_call.hpp
+++ b/src/chervilturn/node/entry_call.hpp
@@ -68,8 +68,11 @@
     }
 
     /// @brief Ends the attempt in progress and decides whether to retry.
-    [[nodiscard]] retry_action end_attempt(const answer& ended, const attempt_limits& limits,
-                                           retry_budget& budget, instant now);
+    [[nodiscard]] retry_action end_attempt(answer ended, const attempt_limits& limits, retry_budget& budget,
+                                           instant now);
+
+    /// @brief The answer of the attempt that ended last.
+    [[nodiscard]] const answer& latest_answer() const noexcept { return this->last_answer; }
 
     /// @brief Drops the attempt in progress; a later answer to it is ignored.
     void abandon_attempt() noexcept { this->current_attempt.reset(); }
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -24,7 +24,8 @@
     : context{&shared_context}, selection_policy{make_policy(shared_context.settings.policy)},
       random{shared_context.settings.seed}, views{shared_context.settings.data_centre} {
     shared_context.mailboxes->entry.on_message([this](entry_message&& received) {
-        std::visit([this](const auto& item) { this->handle(item); }, received);
+        std::visit([this](auto&& item) { this->handle(std::forward<decltype(item)>(item)); },
+                   std::move(received));
     });
 }
 
@@ -61,10 +62,9 @@
               {{"task", "entry"}, {"took_us", elapsed(started_at, now_monotonic()).count()}});
 }
 
-void entry_task::handle(const attempt_ended& message) {
+void entry_task::handle(attempt_ended&& message) {
     const auto now = now_monotonic();
-    const auto& ended = message.ended;
-    const auto found = this->attempts.find(ended.attempt);
+    const auto found = this->attempts.find(message.ended.attempt);
     if (found == this->attempts.end()) {
         ++this->context->stats->counters().late_answers;
         return;
@@ -78,10 +78,11 @@
     const auto reroute_limit = this->views.room_at(state.original_call().team, state.original_call().service)
                                    .reroute_limit(this->context->settings.limits.max_reroutes, now);
     const auto action = state.end_attempt(
-        ended,
+        std::move(message.ended),
         {.reconsider_refusals = this->selection_policy->reconsiders_refusals(), .reroutes = reroute_limit},
         this->retry_budget_for(state.original_call(), state.request().retry_percent), now);
     this->record_attempt_metrics(state, latency);
+    const auto& ended = state.latest_answer();
     log_call(log_level::info, "attempt_ended",
              {{"request", state.original_call().request_id},
               {"attempt", state.retry_status().attempts()},
@@ -432,7 +433,7 @@
     this->count_refusal(state, caller_answer);
     caller_answer.retry_after = service_room::retry_after(state.retry_after(), this->random);
     active.exchange->respond(this->context->protocols.callers->respond(
-        caller_answer,
+        std::move(caller_answer),
         {.entry_host = this->context->settings.host, .attempts = state.retry_status().attempts()}));
 }
 
--- a/src/chervilturn/node/entry_task.hpp
+++ b/src/chervilturn/node/entry_task.hpp
@@ -42,7 +42,7 @@
     using call_iterator = std::list<active_call>::iterator;
 
     void handle(const settings_changed& message);
-    void handle(const attempt_ended& message);
+    void handle(attempt_ended&& message);
     void handle(const suspects_changed& message);
     void handle(const shutdown_announced& message);
     void handle(const shutdown_started& message);
--- a/src/chervilturn/node/native_protocol.cpp
+++ b/src/chervilturn/node/native_protocol.cpp
@@ -75,12 +75,12 @@
     return refusal_response(error.status, outcome::not_run, error.why, error.message);
 }
 
-http_response native_caller_protocol::respond(const answer& ended, const answer_context& context) const {
+http_response native_caller_protocol::respond(answer&& ended, const answer_context& context) const {
     const bool has_answer = ended.result == outcome::completed && ended.status != 0;
     auto response = has_answer ? http_response{.status = ended.status,
-                                               .headers = ended.headers,
-                                               .body = ended.body,
-                                               .held = ended.held}
+                                               .headers = std::move(ended.headers),
+                                               .body = std::move(ended.body),
+                                               .held = std::move(ended.held)}
                                : refusal_response(status_for(ended), ended.result, ended.why, "");
     if (has_answer) {
         response.headers.push_back({"chervilturn-outcome", std::string{to_string(ended.result)}});
--- a/src/chervilturn/node/outstanding_attempts.cpp
+++ b/src/chervilturn/node/outstanding_attempts.cpp
@@ -53,7 +53,7 @@
     return true;
 }
 
-std::optional<std::string> outstanding_attempts::take_body(const attempt_id& attempt) {
+std::optional<shared_body> outstanding_attempts::take_body(const attempt_id& attempt) {
     const auto found = this->attempts.find(attempt);
     if (found == this->attempts.end() || found->second.forget_at || found->second.withheld_body.empty()) {
         return std::nullopt;
--- a/src/chervilturn/node/protocol.hpp
+++ b/src/chervilturn/node/protocol.hpp
@@ -71,7 +71,7 @@
     [[nodiscard]] virtual http_response refuse(const request_error& error) const = 0;
 
     /// @brief The response to a call that has ended.
-    [[nodiscard]] virtual http_response respond(const answer& ended, const answer_context& context) const = 0;
+    [[nodiscard]] virtual http_response respond(answer&& ended, const answer_context& context) const = 0;
 };
 
 /// @brief The load that a backend server reports of itself.
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -80,7 +80,7 @@
     target.setMethod(to_text(outgoing.method));
     target.setTarget(to_text(outgoing.target));
     write_headers(target.initHeaders(static_cast<unsigned>(outgoing.headers.size())), outgoing.headers);
-    target.setBody(to_data(outgoing.body));
+    target.setBody(to_data(outgoing.body.text()));
     target.setRequestId(to_text(outgoing.request_id));
     target.setOrigin(to_text(outgoing.origin));
     target.setLastResort(outgoing.last_resort);
@@ -305,7 +305,7 @@
                    [&](const call_body& item) {
                        auto target = frame.initCallBody();
                        write_attempt(target.initAttempt(), item.attempt);
-                       target.setBody(to_data(item.body));
+                       target.setBody(to_data(item.body.text()));
                    },
                    [&](const ping& item) { frame.setPing(item.nonce); },
                    [&](const pong& item) { frame.setPong(item.nonce); },
@@ -373,7 +373,11 @@
 std::string encode(const message& outgoing) {
     capnp::MallocMessageBuilder builder;
     write_message(builder.initRoot<wire::Frame>(), outgoing);
+    // Packing never adds more than this to a message.
+    constexpr std::size_t packing_divisor = 64;
+    const auto unpacked_bytes = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
     std::string frame(frame_header_bytes, '\0');
+    frame.reserve(frame_header_bytes + unpacked_bytes + unpacked_bytes / packing_divisor);
     appending_stream packed{frame};
     capnp::writePackedMessage(packed, builder);
     const auto length = static_cast<std::uint32_t>(frame.size() - frame_header_bytes);
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -26,7 +26,7 @@
     std::string method;
     std::string target; // path and query
     std::vector<header> headers;
-    std::string body;
+    shared_body body;
 };
 
 /// @brief A complete HTTP response.
--- a/src/chervilturn/transport/http_client.cpp
+++ b/src/chervilturn/transport/http_client.cpp
@@ -73,14 +73,15 @@
         this->connect(owner.target);
     }
 
-    void start(http_client::exchange& new_exchange, const std::string& text) {
+    void start(http_client::exchange& new_exchange, const std::string& head, const shared_body& body) {
         this->current_exchange = &new_exchange;
         if (!new_exchange.send_options.id.empty()) {
             this->carried_ids.insert(new_exchange.send_options.id);
         }
         this->discarded_responses = 0;
         this->reader.reset(new_exchange.head_request);
-        this->write(text);
+        this->write(head);
+        this->write(body.text(), body.holder());
     }
 
     [[nodiscard]] bool is_connected() const noexcept { return this->connected; }
@@ -268,7 +269,8 @@
                                                    request.method == "HEAD");
     this->in_progress.push_back(new_exchange);
     new_exchange->connection = this->acquire_connection(force_new, id);
-    new_exchange->connection->start(*new_exchange, internal::request_text(request, this->target));
+    new_exchange->connection->start(*new_exchange, internal::request_head(request, this->target),
+                                    request.body);
     return new_exchange;
 }
 
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -100,12 +100,14 @@
     }
 
     bool write_response() {
-        const auto next = this->pipeline.take_response();
+        auto next = this->pipeline.take_response();
         if (!next) {
             return false;
         }
-        this->write(response_text(next->response, next->last_response, next->head_request),
-                    next->response.held);
+        this->write(response_head(next->response, next->last_response));
+        if (sends_body(next->response, next->head_request)) {
+            this->write(std::move(next->response.body), std::move(next->response.held));
+        }
         this->idle_since = monotonic_clock::now();
         if (next->last_response) {
             this->start_linger();
--- a/src/chervilturn/transport/http_stream.cpp
+++ b/src/chervilturn/transport/http_stream.cpp
@@ -77,6 +77,10 @@
     add_without_copy(bufferevent_get_output(this->stream), std::move(bytes), std::move(held));
 }
 
+void http_stream::write(std::string_view bytes, std::shared_ptr<const void> holder) {
+    add_without_copy(bufferevent_get_output(this->stream), bytes, std::move(holder));
+}
+
 evbuffer* http_stream::input() const noexcept {
     return bufferevent_get_input(this->stream);
 }
--- a/src/chervilturn/transport/http_stream.hpp
+++ b/src/chervilturn/transport/http_stream.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 struct bufferevent;
 struct evbuffer;
@@ -38,6 +39,9 @@
 
     /// @brief Writes bytes without copying a long text. What is passed along is released when they have left.
     void write(std::string&& bytes, std::shared_ptr<const void> held);
+
+    /// @brief Writes bytes without copying a long text, which the holder keeps alive.
+    void write(std::string_view bytes, std::shared_ptr<const void> holder);
     [[nodiscard]] evbuffer* input() const noexcept;
 
     /// @brief Bytes that were passed to write but not yet to the socket; 0 once closed.
--- a/src/chervilturn/transport/http_writer.cpp
+++ b/src/chervilturn/transport/http_writer.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-std::string request_text(const http_request& request, const address& target) {
+std::string request_head(const http_request& request, const address& target) {
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     if (find_header(request.headers, "host").empty()) {
         add_header(text, {"host", to_string(target)});
@@ -52,10 +52,10 @@
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
         add_length(text, request.body.size());
     }
-    return text.append("\r\n").append(request.body);
+    return text.append("\r\n");
 }
 
-std::string response_text(const http_response& response, bool last_response, bool head_request) {
+std::string response_head(const http_response& response, bool last_response) {
     std::string text =
         "HTTP/1.1 " + std::to_string(response.status) + ' ' + reason_phrase(response.status) + "\r\n";
     for (const auto& item : response.headers) {
@@ -67,11 +67,11 @@
     if (may_have_body(response.status)) {
         add_length(text, response.body.size());
     }
-    text.append("\r\n");
-    if (!head_request && may_have_body(response.status)) {
-        text.append(response.body);
-    }
-    return text;
+    return text.append("\r\n");
+}
+
+bool sends_body(const http_response& response, bool head_request) noexcept {
+    return !head_request && may_have_body(response.status);
 }
 
 } // namespace chervilturn::internal
--- a/src/chervilturn/transport/http_writer.hpp
+++ b/src/chervilturn/transport/http_writer.hpp
@@ -7,11 +7,15 @@
 
 namespace chervilturn::internal {
 
-/// @brief The bytes of a request. If it has no host header, the target's address is added as one.
-[[nodiscard]] std::string request_text(const http_request& request, const address& target);
+/// @brief The bytes of a request up to its body. If it has no host header, the target's address is added as
+/// one.
+[[nodiscard]] std::string request_head(const http_request& request, const address& target);
 
-/// @brief The bytes of a response. The last response of a connection has the header "connection: close"; a
-/// response to a HEAD request has no body.
-[[nodiscard]] std::string response_text(const http_response& response, bool last_response, bool head_request);
+/// @brief The bytes of a response up to its body. The last response of a connection has the header
+/// "connection: close".
+[[nodiscard]] std::string response_head(const http_response& response, bool last_response);
+
+/// @brief Whether the body of a response is sent: not to a HEAD request, and not with some statuses.
+[[nodiscard]] bool sends_body(const http_response& response, bool head_request) noexcept;
 
 } // namespace chervilturn::internal
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -33,7 +33,7 @@
 /// @brief The body of a call that was sent without it.
 struct call_body {
     attempt_id attempt;
-    std::string body;
+    shared_body body;
 };
 
 /// @brief Asks an owner to cancel an attempt.
--- a/src/chervilturn/transport/output_bytes.cpp
+++ b/src/chervilturn/transport/output_bytes.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t max_copied_bytes = 16UL * 1024;
 
-struct referenced_bytes {
+struct owned_bytes {
     std::string bytes;
     std::shared_ptr<const void> held;
 };
@@ -21,13 +21,20 @@
     if (bytes.size() <= max_copied_bytes) {
         return evbuffer_add(output, bytes.data(), bytes.size()) == 0;
     }
-    auto referenced = std::make_unique<referenced_bytes>(
-        referenced_bytes{.bytes = std::move(bytes), .held = std::move(held)});
+    const auto owned = std::make_shared<const owned_bytes>(owned_bytes{std::move(bytes), std::move(held)});
+    return add_without_copy(output, std::string_view{owned->bytes}, owned);
+}
+
+bool add_without_copy(evbuffer* output, std::string_view bytes, std::shared_ptr<const void> holder) {
+    if (bytes.size() <= max_copied_bytes) {
+        return evbuffer_add(output, bytes.data(), bytes.size()) == 0;
+    }
+    using holder_pointer = std::shared_ptr<const void>;
+    auto referenced = std::make_unique<holder_pointer>(std::move(holder));
     const auto release = [](const void*, std::size_t, void* owner) {
-        const std::unique_ptr<referenced_bytes> ended{static_cast<referenced_bytes*>(owner)};
+        const std::unique_ptr<holder_pointer> ended{static_cast<holder_pointer*>(owner)};
     };
-    if (evbuffer_add_reference(output, referenced->bytes.data(), referenced->bytes.size(), release,
-                               referenced.get()) != 0) {
+    if (evbuffer_add_reference(output, bytes.data(), bytes.size(), release, referenced.get()) != 0) {
         return false;
     }
     static_cast<void>(referenced.release()); // the buffer owns it
--- a/src/chervilturn/transport/pipelined_client.cpp
+++ b/src/chervilturn/transport/pipelined_client.cpp
@@ -41,7 +41,8 @@
         }
         this->pending.push_back(
             {monotonic_clock::now() + this->timeout, request.method == "HEAD", std::move(handler)});
-        this->write(request_text(request, this->target));
+        this->write(request_head(request, this->target));
+        this->write(request.body.text(), request.body.holder());
     }
 
     /// @brief Closes the connection and ends all requests without a response.
--- a/src/chervilturn/transport/wire_values.hpp
+++ b/src/chervilturn/transport/wire_values.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace chervilturn::internal {
 
@@ -18,7 +19,7 @@
     return {value.begin(), value.size()};
 }
 
-[[nodiscard]] inline capnp::Data::Reader to_data(const std::string& value) {
+[[nodiscard]] inline capnp::Data::Reader to_data(std::string_view value) {
     return {reinterpret_cast<const capnp::byte*>(value.data()), value.size()};
 }
 
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -130,7 +130,7 @@
         if (url.path.starts_with(control_prefix)) {
             const bool is_removal = exchange.request().method == "DELETE";
             this->put(url.path.substr(control_prefix.size()),
-                      is_removal ? std::nullopt : std::optional{exchange.request().body});
+                      is_removal ? std::nullopt : std::optional{std::string{exchange.request().body.text()}});
         } else if (url.path == "/control/mode") {
             this->set_mode(url.text("mode"));
         }
--- a/test/chervilturn/node/outstanding_attempts_test.cpp
+++ b/test/chervilturn/node/outstanding_attempts_test.cpp
@@ -22,7 +22,7 @@
     call send(std::size_t body_bytes = 0) {
         call outgoing;
         outgoing.attempt = first;
-        outgoing.body.assign(body_bytes, 'x');
+        outgoing.body = std::string(body_bytes, 'x');
         this->attempts.on_sending(outgoing, owner_process, true, start + 100ms);
         return outgoing;
     }
--- a/test/chervilturn/node/peer_client_task_test.cpp
+++ b/test/chervilturn/node/peer_client_task_test.cpp
@@ -111,7 +111,7 @@
         upload.attempt = {1, sequence};
         upload.method = "POST";
         upload.remaining = std::chrono::seconds{5};
-        upload.body.assign(body_bytes, 'x');
+        upload.body = std::string(body_bytes, 'x');
         this->mailboxes.peer_client.post(send_attempt{this->owner, std::move(upload)});
         REQUIRE(test::wait_for(this->loop, [this, sequence] { return this->calls.size() == sequence; }));
     }
--- a/test/chervilturn/transport/request_pipeline_test.cpp
+++ b/test/chervilturn/transport/request_pipeline_test.cpp
@@ -302,7 +302,7 @@
         request_pipeline pipeline{{.max_bytes = 100}};
         CHECK(pipeline.has_room());
         auto large = make_request("a", true);
-        large.request.body.assign(1000, 'x');
+        large.request.body = std::string(1000, 'x');
         pipeline.add(std::move(large));
         CHECK_FALSE(pipeline.has_room());
     }
