Count what is held for clients, and end clients that hold others up

What callers saw: the process ended, and all requests on its host with it, when many clients sent bodies that stop short of their end, chunks beyond the limit or heads without an end, or took long answers slowly.

Cause: the budget of bytes counted answers of backend servers alone, a quarter of limits.memory_mb. Requests that arrive, requests in progress and answers that wait for a slow client at the entry had limits for each connection and none in all.

Change: all of them draw on the budget, which is seven sixteenths of the memory now; responses keep their quarter. A body with a length draws all of it before it is read, one in chunks twice what it has. Who finds no room waits; the client that makes no progress for the longest time ends (408 before it ran, or its connection), and short requests go first. The policy is client_pace and byte_budget, both without a network.

--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -19,7 +19,7 @@
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 8UL * 1024 * 1024;
     std::size_t memory_bytes = 256UL << 20U; // that the platform gives the process
-    std::size_t max_calls = 4096;            // concurrent calls from callers at this entry
+    std::size_t max_calls = 4096; // concurrent calls from callers at this entry
     // Of the requests of one callers' connection that have no response yet; reading pauses beyond them.
     std::size_t max_pipelined_requests = 32;
     std::size_t max_pipelined_bytes = 256UL * 1024; // and of the responses that wait for an earlier one
@@ -29,9 +29,12 @@
     microseconds shutdown_grace = std::chrono::seconds{60};
     microseconds drain_delay{}; // how long calls are still accepted after the request to stop
 
-    /// @brief Bytes of bodies that the process holds at most. Besides them it needs what one body takes while
-    /// it is converted, and what it holds without any.
-    [[nodiscard]] std::size_t max_held_bytes() const noexcept { return this->memory_bytes / 4; }
+    /// @brief Bytes of requests and responses that the process holds at most: seven sixteenths of its memory.
+    /// Besides them it needs what one body takes while it is converted, and what it holds without any.
+    [[nodiscard]] std::size_t max_held_bytes() const noexcept { return this->memory_bytes / 16 * 7; }
+
+    /// @brief Bytes of these that responses take at most while they arrive.
+    [[nodiscard]] std::size_t max_response_bytes() const noexcept { return this->memory_bytes / 4; }
 };
 
 /// @brief Rate and timeout of load probes to the backend server.
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -465,7 +465,8 @@
     return {
         .max_header_bytes = limits.max_header_bytes,
         .max_body_bytes = limits.max_body_bytes,
-        .pipeline = {.max_requests = limits.max_pipelined_requests, .max_bytes = limits.max_pipelined_bytes}};
+        .pipeline = {.max_requests = limits.max_pipelined_requests, .max_bytes = limits.max_pipelined_bytes},
+        .bodies = this->context->bodies};
 }
 
 // Caller limits in the accepted settings override those of the node's settings file.
--- a/src/chervilturn/node/node.cpp
+++ b/src/chervilturn/node/node.cpp
@@ -32,7 +32,8 @@
 // One body of the largest size may go on while the others wait.
 [[nodiscard]] byte_budget_options body_budget(const node_limits& limits) {
     return {.limit = limits.max_held_bytes(),
-            .headroom = std::min(limits.max_body_bytes, limits.max_held_bytes() / 2)};
+            .headroom = std::min(limits.max_body_bytes, limits.max_response_bytes() / 2),
+            .response_limit = limits.max_response_bytes()};
 }
 
 [[nodiscard]] node_context make_context(event_loop& loop, node_settings&& settings,
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -76,6 +76,7 @@
     microseconds header_timeout = std::chrono::seconds{10}; // from the first to the last byte of a request
     microseconds idle_timeout = std::chrono::seconds{75};   // between two requests of a connection
     pipeline_options pipeline{};
+    byte_budget* bodies = nullptr; // of requests and responses, outlives the server; null: no limit in all
 };
 
 namespace internal {
@@ -155,6 +156,8 @@
     /// @brief Whether no connection is reading or processing a request or writing a response.
     [[nodiscard]] bool idle() const noexcept;
 
+    [[nodiscard]] std::size_t connection_count() const noexcept { return this->connections.size(); }
+
   private:
     friend class internal::server_connection;
 
@@ -163,6 +166,10 @@
 
     void on_accepted(int socket);
     void check_timeouts();
+    void resume_reading();
+    void relieve();
+    // Ends the client that holds up others, if it has made no progress for this long.
+    bool end_one(microseconds stall, const internal::server_connection* spared = nullptr);
     void remove(const internal::server_connection& closed_connection);
 
     event_loop* loop; // outlives the server
@@ -170,6 +177,8 @@
     request_handler handler;
     overlap_check may_overlap; // may be empty
     evconnlistener* socket = nullptr;
+    wake_up room;     // lets connections go on whose requests waited for the budget; outlives the connections
+    wake_up shortage; // ends clients that hold up others
     std::list<std::shared_ptr<internal::server_connection>> connections;
     bool closing = false; // close_after_responses was called
     timer timeout_timer;
--- a/src/chervilturn/transport/http_reader.cpp
+++ b/src/chervilturn/transport/http_reader.cpp
@@ -140,7 +140,7 @@
 };
 
 http_reader::http_reader(http_kind message_kind, const http_reader_options& reader_options)
-    : kind{message_kind}, options{reader_options} {
+    : kind{message_kind}, options{reader_options}, allowed_body_bytes{reader_options.free_body_bytes} {
     this->reset();
 }
 
@@ -153,6 +153,7 @@
     this->head_response = is_head_response;
     this->body_exceeds_limit = false;
     this->skipped_bytes = 0;
+    this->allowed_body_bytes = this->options.free_body_bytes;
 }
 
 read_status http_reader::consume(evbuffer* input) {
@@ -219,17 +220,46 @@
 }
 
 bool http_reader::announces_too_much() const noexcept {
+    return !this->message_done && this->announced_body().value_or(0) > this->options.max_body_bytes;
+}
+
+// The parser counts the length down while it reads the body.
+std::optional<std::size_t> http_reader::announced_body() const noexcept {
     constexpr auto no_length = std::numeric_limits<std::uint64_t>::max();
-    return !this->message_done && this->parser.content_length != no_length &&
-           this->parser.content_length > this->options.max_body_bytes;
+    if (this->parser.content_length == no_length || (this->parser.flags & F_CHUNKED) != 0) {
+        return std::nullopt;
+    }
+    return this->current_message.body.size() + static_cast<std::size_t>(this->parser.content_length);
+}
+
+bool http_reader::awaits_allowance() const noexcept {
+    return this->head_done && !this->message_done &&
+           this->current_message.body.size() >= this->allowed_body_bytes;
+}
+
+std::size_t http_reader::next_allowance() const noexcept {
+    // A body that grows by smaller steps leaves blocks behind which only short messages can use.
+    constexpr std::size_t min_size = 256UL * 1024;
+    const auto doubled = std::max(min_size, this->current_message.body.size() * 2);
+    return std::min(this->announced_body().value_or(doubled), this->options.max_body_bytes);
+}
+
+// A body of the largest size goes on without an allowance, so that one byte more is found to exceed the
+// limit.
+void http_reader::allow_body(std::size_t bytes) {
+    this->current_message.body.reserve(bytes);
+    this->allowed_body_bytes =
+        bytes < this->options.max_body_bytes ? bytes : std::numeric_limits<std::size_t>::max();
 }
 
 read_status http_reader::consume_body(evbuffer* input) {
-    while (evbuffer_get_length(input) > 0) {
+    while (evbuffer_get_length(input) > 0 && !this->awaits_allowance()) {
         evbuffer_iovec chunk{};
         evbuffer_peek(input, -1, nullptr, &chunk, 1);
+        const auto length =
+            std::min(chunk.iov_len, this->allowed_body_bytes - this->current_message.body.size());
         std::size_t consumed = 0;
-        const auto status = this->parse(static_cast<const char*>(chunk.iov_base), chunk.iov_len, consumed);
+        const auto status = this->parse(static_cast<const char*>(chunk.iov_base), length, consumed);
         evbuffer_drain(input, consumed);
         if (status != read_status::incomplete) {
             return status;
--- a/src/chervilturn/transport/http_reader.hpp
+++ b/src/chervilturn/transport/http_reader.hpp
@@ -4,8 +4,11 @@
 
 #include "chervilturn/call/call.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <http_parser.h>
+#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +26,8 @@
 struct http_reader_options {
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 8UL * 1024 * 1024;
+    // A body grows to this size without being allowed to; the reader stops there until allow_body.
+    std::size_t free_body_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// @brief A message, as far as it was read.
@@ -55,7 +60,25 @@
     void reset(bool head_response = false);
 
     /// @brief Changes the limits; to be called between two messages.
-    void configure(const http_reader_options& new_options) noexcept { this->options = new_options; }
+    void configure(const http_reader_options& new_options) noexcept {
+        this->options = new_options;
+        this->allowed_body_bytes = new_options.free_body_bytes;
+    }
+
+    /// @brief Whether the body has reached the size that it is allowed and is not complete.
+    [[nodiscard]] bool awaits_allowance() const noexcept;
+
+    /// @brief The size to which the body has to be allowed to grow next: the one that its head announces,
+    /// else twice the present one.
+    [[nodiscard]] std::size_t next_allowance() const noexcept;
+
+    /// @brief The size to which the body may grow now.
+    [[nodiscard]] std::size_t body_room() const noexcept {
+        return std::min(this->allowed_body_bytes, this->options.max_body_bytes);
+    }
+
+    /// @brief Lets the body grow to this size and reserves memory for it.
+    void allow_body(std::size_t bytes);
 
     /// @brief Whether the head of the current message was read.
     [[nodiscard]] bool head_complete() const noexcept { return this->head_done; }
@@ -71,6 +94,7 @@
     [[nodiscard]] bool is_framing_unambiguous() const;
     // Whether the head states a body that is longer than the limit, none of which is read then.
     [[nodiscard]] bool announces_too_much() const noexcept;
+    [[nodiscard]] std::optional<std::size_t> announced_body() const noexcept;
 
     http_kind kind;
     http_reader_options options;
@@ -80,7 +104,8 @@
     bool message_done = false;
     bool head_response = false;
     bool body_exceeds_limit = false;
-    std::size_t skipped_bytes = 0; // empty lines before the head
+    std::size_t skipped_bytes = 0;  // empty lines before the head
+    std::size_t allowed_body_bytes; // of the current message
 };
 
 } // namespace chervilturn::internal
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -1,4 +1,6 @@
 // HTTP server: accepts connections, reads their requests and writes the responses in the same order.
+#include "chervilturn/observe/log.hpp"
+#include "chervilturn/transport/client_pace.hpp"
 #include "chervilturn/transport/http.hpp"
 #include "chervilturn/transport/http_reader.hpp"
 #include "chervilturn/transport/http_stream.hpp"
@@ -11,6 +13,7 @@
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/listener.h>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -26,6 +29,27 @@
 constexpr std::uint16_t status_request_timeout = 408;
 constexpr std::uint16_t status_content_too_large = 413;
 constexpr std::uint16_t status_headers_too_large = 431;
+constexpr std::uint16_t status_unavailable = 503;
+// While bytes are lacking, a client that makes no progress for so long ends.
+constexpr microseconds min_stall = std::chrono::milliseconds{500};
+constexpr std::size_t min_drawn_bytes = 2048;        // of a request; fewer draw on no budget
+constexpr std::size_t min_held_output = 64UL * 1024; // bytes; the kernel takes the rest of a shorter response
+constexpr const char* retry_after_shortage_seconds = "1"; // for a client that was refused for lack of bytes
+
+// What buffers take for unread input of this length.
+[[nodiscard]] constexpr std::size_t buffer_bytes(std::size_t length) noexcept {
+    constexpr std::size_t connection_bytes = 4096; // with the state of the connection
+    return length + length / 4 + connection_bytes;
+}
+
+// What a message takes whose body takes this much.
+[[nodiscard]] std::size_t bytes_of(const internal::http_message& message, std::size_t body_bytes) {
+    std::size_t sum = message.target.capacity() + body_bytes;
+    for (const auto& item : message.headers) {
+        sum += sizeof(item) + item.name.size() + item.value.size();
+    }
+    return sum;
+}
 
 } // namespace
 
@@ -55,13 +79,54 @@
         return this->pipeline.empty() && !this->reading_since && this->unwritten() == 0;
     }
 
+    /// @brief The bytes that are held because the client sends or takes slowly.
+    [[nodiscard]] held_client held(instant now) {
+        if (this->holds_output()) {
+            this->note_taken(now);
+            return {.bytes = this->unwritten(), .stalled_for = this->taking.stalled_for(now)};
+        }
+        return {.bytes = this->drawn == nullptr ? 0 : this->drawn->bytes(),
+                .stalled_for = this->arriving.stalled_for(now),
+                .waits = this->awaits_room};
+    }
+
+    /// @brief Ends the client for whom bytes are held, so that others find room.
+    void give_up(const char* because) {
+        const auto guard = this->shared_from_this();
+        log_event(log_level::warn, "client_ended",
+                  {{"because", because},
+                   {"unread_bytes", this->unwritten()},
+                   {"request_bytes", this->drawn == nullptr ? 0 : this->drawn->bytes()}});
+        if (this->holds_output() || !this->reading_since) {
+            this->end();
+        } else if (this->awaits_room) {
+            this->reject_for_shortage();
+            this->advance();
+        } else {
+            this->reject(status_request_timeout, "the request arrived too slowly");
+            this->advance();
+        }
+    }
+
+    /// @brief Reads on if the request waits for room.
+    void retry_reading() {
+        if (this->awaits_room && this->is_open()) {
+            this->advance();
+        }
+    }
+
     void check_timeout(instant now) {
         const auto guard = this->shared_from_this();
+        this->note_taken(now);
         if (this->has_outstayed(now)) {
             this->end();
         } else if (this->reading_since &&
                    elapsed(*this->reading_since, now) >= this->server->options.header_timeout) {
-            this->reject(status_request_timeout, "the request was not complete in time");
+            if (this->awaits_room) {
+                this->reject_for_shortage();
+            } else {
+                this->reject(status_request_timeout, "the request was not complete in time");
+            }
             this->advance();
         }
     }
@@ -104,11 +169,17 @@
         if (!next) {
             return false;
         }
+        this->idle_since = monotonic_clock::now();
+        if (this->unwritten() == 0) {
+            this->taking.restart(this->idle_since);
+            this->passed_bytes = 0;
+        }
+        const auto before = this->unwritten();
         this->write(response_head(next->response, next->last_response));
         if (sends_body(next->response, next->head_request)) {
             this->write(std::move(next->response.body), std::move(next->response.held));
         }
-        this->idle_since = monotonic_clock::now();
+        this->passed_bytes += this->unwritten() - before;
         if (next->last_response) {
             this->start_linger();
         }
@@ -143,8 +214,12 @@
                 return false;
             }
             this->reading_since = now;
-            this->reader.configure(
-                {this->server->options.max_header_bytes, this->server->options.max_body_bytes});
+            this->arriving.restart(now);
+            const bool is_counted = this->server->options.bodies != nullptr;
+            this->reader.configure({.max_header_bytes = this->server->options.max_header_bytes,
+                                    .max_body_bytes = this->server->options.max_body_bytes,
+                                    .free_body_bytes = is_counted ? max_uncounted_body
+                                                                  : std::numeric_limits<std::size_t>::max()});
             this->request_arrived = std::exchange(this->input_since, std::nullopt).value_or(now);
         }
         return this->consume();
@@ -154,9 +229,13 @@
         switch (this->reader.consume(this->input())) {
         case read_status::incomplete:
             this->send_continue();
-            return false;
+            return this->server->options.bodies != nullptr && this->draw_for_part();
         case read_status::complete:
-            this->add_request();
+            if (this->draw_for_whole()) {
+                this->add_request();
+            } else {
+                this->reject_for_shortage();
+            }
             return true;
         case read_status::malformed:
             this->reject(status_bad_request, "the request is malformed");
@@ -171,6 +250,75 @@
         return false;
     }
 
+    // Draws on the budget for what has arrived of a request, and for the next part of its body. True when
+    // reading goes on at once.
+    bool draw_for_part() {
+        const auto now = monotonic_clock::now();
+        const auto& body = this->reader.message().body;
+        const auto input_bytes = evbuffer_get_length(this->input());
+        this->arriving.note(body.size() + input_bytes, now);
+        const bool wants_more = this->reader.awaits_allowance();
+        const auto next_size = wants_more ? this->reader.next_allowance() : 0;
+        const auto body_bytes = std::min(body.capacity(), this->reader.body_room());
+        const auto present = bytes_of(this->reader.message(), body_bytes) + buffer_bytes(input_bytes);
+        if (!wants_more && present - buffer_bytes(0) < min_drawn_bytes) {
+            return false;
+        }
+        const auto further = next_size > body_bytes ? next_size - body_bytes : 0;
+        switch (this->draw(present + further)) {
+        case byte_grant::granted:
+            if (wants_more) {
+                this->reader.allow_body(next_size);
+            }
+            return wants_more;
+        case byte_grant::refused:
+            this->reject(status_content_too_large, "the node has no memory for a request of this size");
+            return true;
+        case byte_grant::wait:
+            break;
+        }
+        if (wants_more) {
+            return false;
+        }
+        this->reject_for_shortage(); // its bytes are held already
+        return true;
+    }
+
+    // Draws for a request that is complete. False when there is no room for it.
+    bool draw_for_whole() {
+        auto* bodies = this->server->options.bodies;
+        const auto& message = this->reader.message();
+        // Memory that was reserved and not written takes no room.
+        const auto bytes = bytes_of(message, std::min(message.body.capacity(), 2 * message.body.size()));
+        if (bodies == nullptr || (this->drawn == nullptr && bytes < min_drawn_bytes)) {
+            return true;
+        }
+        if (this->drawn == nullptr && this->draw(bytes) != byte_grant::granted) {
+            return false;
+        }
+        this->drawn->complete(bytes);
+        this->awaits_room = false;
+        return true;
+    }
+
+    byte_grant draw(std::size_t bytes) {
+        if (this->drawn == nullptr) {
+            this->drawn = std::make_shared<byte_share>(
+                *this->server->options.bodies, [owner = this->server] { owner->room.signal(); },
+                share_kind::request);
+        }
+        auto grant = this->drawn->grow_to(bytes);
+        while (grant == byte_grant::wait && bytes <= max_short_request &&
+               this->server->end_one(microseconds::zero(), this)) {
+            grant = this->drawn->grow_to(bytes);
+        }
+        if (this->awaits_room && grant == byte_grant::granted) {
+            this->arriving.restart(monotonic_clock::now());
+        }
+        this->awaits_room = grant == byte_grant::wait;
+        return grant;
+    }
+
     // Sends 100 Continue to a client that expects it before it sends the body, after all earlier responses.
     void send_continue() {
         if (this->reader.head_complete() && !this->continue_sent && this->pipeline.empty() &&
@@ -182,12 +330,13 @@
 
     void add_request() {
         auto& message = this->reader.message();
-        pipelined_request received{.request = {.method = std::move(message.method),
-                                               .target = std::move(message.target),
-                                               .headers = std::move(message.headers),
-                                               .body = std::move(message.body)},
-                                   .arrived = this->request_arrived,
-                                   .keep_alive = message.keep_alive};
+        pipelined_request received{
+            .request = {.method = std::move(message.method),
+                        .target = std::move(message.target),
+                        .headers = std::move(message.headers),
+                        .body = {std::move(message.body), std::exchange(this->drawn, nullptr)}},
+            .arrived = this->request_arrived,
+            .keep_alive = message.keep_alive};
         received.overlaps = this->server->may_overlap && this->server->may_overlap(received.request);
         this->pipeline.configure(this->server->options.pipeline);
         this->pipeline.add(std::move(received));
@@ -197,20 +346,41 @@
     }
 
     // Responds to a request that cannot be read, after the requests before it, and ends the connection.
-    void reject(std::uint16_t status, const std::string& explanation) {
+    void reject(std::uint16_t status, const std::string& explanation, std::vector<header> headers = {}) {
+        headers.push_back({"content-type", "application/json"});
         this->pipeline.add_rejection({.status = status,
-                                      .headers = {{"content-type", "application/json"}},
+                                      .headers = std::move(headers),
                                       .body = "{\"message\":\"" + explanation + "\"}\n"});
+        this->drop_request();
+    }
+
+    void reject_for_shortage() {
+        this->reject(status_unavailable, "the node holds too many bytes of requests and responses",
+                     {{"retry-after", retry_after_shortage_seconds}});
+    }
+
+    void drop_request() {
+        this->reader.reset();
         this->reading_since.reset();
+        this->drawn.reset();
+        this->awaits_room = false;
     }
 
     // Discards input behind the last request, and pauses reading when too much of it waits for room.
     void limit_input() {
         if (this->lingering_since || this->pipeline.has_last()) {
             evbuffer_drain(this->input(), evbuffer_get_length(this->input()));
-            this->reading_since.reset();
+            this->drop_request();
         }
-        this->set_reading_paused(evbuffer_get_length(this->input()) > max_read_ahead);
+        const auto input_bytes = evbuffer_get_length(this->input());
+        this->set_reading_paused(input_bytes > (this->awaits_room ? 0 : max_read_ahead));
+    }
+
+    // Whether the client has yet to take so much that more than the kernel's buffers are needed.
+    [[nodiscard]] bool holds_output() const noexcept { return this->unwritten() >= min_held_output; }
+
+    void note_taken(instant now) noexcept {
+        this->taking.note(this->passed_bytes - std::min(this->passed_bytes, this->unwritten()), now);
     }
 
     // Closing at once would reset the connection if unread input arrives, and the client could lose the
@@ -251,8 +421,13 @@
     std::optional<instant> input_since;                  // while input waits for room in the pipeline
     std::optional<instant> lingering_since;              // after the last response
     instant request_arrived{};                           // first byte of the request that is being read
-    bool continue_sent = false;                          // for the request that is being read
-    bool advancing = false;                              // advance is running
+    std::shared_ptr<byte_share> drawn; // for the request that is being read; null while it is short
+    bool awaits_room = false;          // the request that is being read; reading is paused
+    client_pace arriving;              // of the request that is being read
+    client_pace taking;                // of the output since it was last empty
+    std::size_t passed_bytes = 0;      // to the output since it was last empty
+    bool continue_sent = false;        // for the request that is being read
+    bool advancing = false;            // advance is running
 };
 
 } // namespace internal
@@ -293,11 +468,18 @@
 http_server::http_server(event_loop& io_loop, const http_server_options& server_options,
                          request_handler callback, overlap_check overlap)
     : loop{&io_loop}, options{server_options}, handler{std::move(callback)}, may_overlap{std::move(overlap)},
+      room{io_loop, [this] { this->resume_reading(); }}, shortage{io_loop, [this] { this->relieve(); }},
       timeout_timer{io_loop, [this] { this->check_timeouts(); }} {
     this->timeout_timer.start_periodic(timeout_check_period);
+    if (this->options.bodies != nullptr) {
+        this->options.bodies->on_shortage([this] { this->shortage.signal(); });
+    }
 }
 
 http_server::~http_server() {
+    if (this->options.bodies != nullptr) {
+        this->options.bodies->on_shortage({});
+    }
     this->stop_accepting();
     for (const auto& connection : this->connections) {
         connection->close();
@@ -355,6 +537,45 @@
             connection->check_timeout(now);
         }
     }
+    this->relieve();
+}
+
+// A copy of the list, since reading on may end a connection.
+void http_server::resume_reading() {
+    const auto snapshot = this->connections;
+    for (const auto& connection : snapshot) {
+        connection->retry_reading();
+    }
+}
+
+// Ends clients that hold up others: as many as wait when they make no progress, and whoever is slowest while
+// more is held than the limit allows.
+void http_server::relieve() {
+    if (this->options.bodies == nullptr) {
+        return;
+    }
+    const auto& bodies = *this->options.bodies;
+    for (auto waiting = bodies.waiting(); waiting > 0 && this->end_one(min_stall); --waiting) {
+    }
+    while (bodies.used() > bodies.limit() && this->end_one(microseconds::zero())) {
+    }
+}
+
+bool http_server::end_one(microseconds stall, const internal::server_connection* spared) {
+    const auto now = monotonic_clock::now();
+    std::vector<std::shared_ptr<internal::server_connection>> holders;
+    std::vector<internal::held_client> clients;
+    for (const auto& connection : this->connections) {
+        if (connection.get() != spared && connection->is_open()) {
+            holders.push_back(connection);
+            clients.push_back(connection->held(now));
+        }
+    }
+    const auto chosen = internal::client_to_end(clients, stall);
+    if (chosen) {
+        holders[*chosen]->give_up("bytes_lacking");
+    }
+    return chosen.has_value();
 }
 
 void http_server::remove(const internal::server_connection& closed_connection) {
--- a/test/chervilturn/core/byte_budget_test.cpp
+++ b/test/chervilturn/core/byte_budget_test.cpp
@@ -73,4 +73,69 @@
     CHECK(budget.waiting() == 0);
 }
 
+// Guards against clients that begin requests and stay: what they hold must not keep the responses of the
+// requests in progress from arriving, nor short requests from being read.
+TEST_CASE("requests that are arriving leave room for responses and for short requests") {
+    constexpr std::size_t unit = max_short_request;
+    byte_budget budget{{.limit = 10 * unit, .headroom = 4 * unit}};
+    int shortages = 0;
+    int calls = 0;
+    budget.on_shortage([&shortages] { ++shortages; });
+    const auto begin_request = [&] {
+        return std::make_unique<byte_share>(
+            budget, [&calls] { ++calls; }, share_kind::request);
+    };
+    auto first = begin_request();
+    auto second = begin_request();
+    REQUIRE(first->grow_to(4 * unit) == byte_grant::granted);
+    REQUIRE(second->grow_to(2 * unit) == byte_grant::granted);
+
+    SECTION("a long one waits at the headroom, and the shortage is told") {
+        CHECK(second->grow_to(3 * unit) == byte_grant::wait);
+        CHECK(budget.waiting() == 1);
+        CHECK(shortages == 1);
+        SECTION("until another one has ended") {
+            first.reset();
+            CHECK(calls == 1);
+            CHECK(second->grow_to(3 * unit) == byte_grant::granted);
+        }
+    }
+    SECTION("short ones may use half of the headroom") {
+        auto third = begin_request();
+        auto fourth = begin_request();
+        auto fifth = begin_request();
+        CHECK(third->grow_to(unit) == byte_grant::granted);
+        CHECK(fourth->grow_to(unit) == byte_grant::granted);
+        CHECK(fifth->grow_to(unit) == byte_grant::wait);
+    }
+    SECTION("a response goes on into the headroom") {
+        byte_share response{budget, [] {}};
+        CHECK(response.grow_to(4 * unit) == byte_grant::granted);
+    }
+    SECTION("one that fits beside nothing goes on when nothing else is held") {
+        CHECK(first->grow_to(10 * unit) == byte_grant::wait);
+        second.reset();
+        CHECK(first->grow_to(10 * unit) == byte_grant::granted);
+    }
+    SECTION("one that is longer than the limit is refused") {
+        CHECK(first->grow_to(10 * unit + 1) == byte_grant::refused);
+        CHECK(budget.waiting() == 0);
+    }
+    SECTION("responses have a limit of their own") {
+        byte_budget divided{{.limit = 10 * unit, .headroom = unit, .response_limit = 4 * unit}};
+        byte_share request{divided, [] {}, share_kind::request};
+        byte_share response{divided, [] {}};
+        CHECK(request.grow_to(5 * unit) == byte_grant::granted);
+        CHECK(response.grow_to(4 * unit) == byte_grant::granted);
+        CHECK(response.grow_to(5 * unit) == byte_grant::refused);
+    }
+    SECTION("what is held beyond the limit is told") {
+        const byte_share present{budget, 5 * unit};
+        CHECK(shortages == 1);
+    }
+    first.reset();
+    second.reset();
+    CHECK(budget.used() == 0);
+}
+
 } // namespace chervilturn
