End a connection whose client takes nothing of its answer

What was seen: a client that takes no answer and sends something malformed behind its request held its connection and the answer for good; one that takes its answer slowly was cut off at the idle limit.

Cause: a connection after its last response ended only when nothing was unwritten, and the idle limit was not looked at any more; before, the idle time counted from when the response was passed to the buffer.

--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -132,11 +132,15 @@
     }
 
   private:
-    // Whether the connection ends now: after its last response, since its client has left while reading is
-    // paused, or since it is idle.
+    // Whether the connection ends now: since its client takes no response, after its last response, since its
+    // client has left while reading is paused, or since it is idle. A client that takes its response is not
+    // idle, however long that lasts.
     [[nodiscard]] bool has_outstayed(instant now) const {
+        if (this->unwritten() > 0) {
+            return this->taking.stalled_for(now) >= this->server->options.idle_timeout;
+        }
         if (this->lingering_since) {
-            return elapsed(*this->lingering_since, now) >= max_linger && this->unwritten() == 0;
+            return elapsed(*this->lingering_since, now) >= max_linger;
         }
         if (this->reading_paused() && this->peer_has_shut_down()) {
             return true;
@@ -393,6 +397,7 @@
     }
 
     void on_written() override {
+        this->idle_since = monotonic_clock::now();
         if (this->lingering_since) {
             this->shutdown_writing();
         }
@@ -416,7 +421,7 @@
     http_reader reader;
     request_pipeline pipeline;
     std::vector<std::weak_ptr<http_exchange>> exchanges; // of started requests; expired ones are removed late
-    instant idle_since;                                  // the last response, or the start
+    instant idle_since;                                  // the last response was taken, or the start
     std::optional<instant> reading_since;                // while a request is being read
     std::optional<instant> input_since;                  // while input waits for room in the pipeline
     std::optional<instant> lingering_since;              // after the last response
--- a/test/chervilturn/transport/http_shortage_test.cpp
+++ b/test/chervilturn/transport/http_shortage_test.cpp
@@ -132,4 +132,19 @@
     CHECK(fixture.wait_for_requests(1));
 }
 
+TEST_CASE("a connection ends when its client takes nothing for the idle time") {
+    short_of_bytes fixture{300ms};
+    auto& client = fixture.send_short();
+    client.pause_reading();
+    REQUIRE(fixture.wait_for_requests(1));
+    const bool last = GENERATE(false, true);
+    if (last) {
+        client.write("no request\r\n\r\n");
+    }
+    fixture.exchanges.front()->respond(
+        {.status = 200, .headers = {}, .body = std::string(16 * body_bytes, 'x'), .held = nullptr});
+    fixture.exchanges.clear();
+    CHECK(wait_for(fixture.loop, [&] { return fixture.server->connection_count() == 0; }));
+}
+
 } // namespace chervilturn
