Pass bodies between nodes in parts that are paid for

What was seen: whole bodies of legal size at once ended entry and owner, and a single upload of 64 MiB took a node beyond its 260 MB.

Cause: a body crossed in one frame, which stood several times in each process while it was encoded, sent, received and decoded; the owner drew on no budget for it.

Change: the owner draws for the whole body when it has admitted the call, and refuses it otherwise (memory_full: it has not run and may go elsewhere); then it asks for parts of 256 KiB, one after another. Entries and owners of older versions ask for and send whole bodies as before. A lost part is asked for again.

--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -22,7 +22,7 @@
     partReceipt @13 :PartReceipt;
     crashReport @14 :CrashReport;
     comparison @15 :Comparison;
-    bodyRequest @16 :AttemptId;
+    bodyRequest @16 :BodyRequest;
     callBody @17 :CallBody;
   }
 }
@@ -78,9 +78,18 @@
 }
 
 # The body of a call that was sent without it, on request of the owner.
+# The first two members are those of AttemptId, which nodes of older versions send and read here.
+struct BodyRequest {
+  entry @0 :UInt64;
+  sequence @1 :UInt64;
+  offset @2 :UInt64;  # of the requested part
+  length @3 :UInt64;  # of the requested part; 0 from nodes of older versions, which request the whole body
+}
+
 struct CallBody {
   attempt @0 :AttemptId;
   body @1 :Data;
+  offset @2 :UInt64;  # of these bytes in the body
 }
 
 struct Load {
--- a/src/chervilturn/admission/awaited_bodies.cpp
+++ b/src/chervilturn/admission/awaited_bodies.cpp
@@ -1,6 +1,9 @@
-// Time limits of requested bodies.
+// Parts and time limits of requested bodies.
 #include "chervilturn/admission/awaited_bodies.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace chervilturn {
 
 namespace {
@@ -16,18 +19,40 @@
 
 } // namespace
 
-void awaited_bodies::expect(const attempt_id& attempt, std::size_t announced_bytes, instant now) {
-    this->waits[attempt] = {announced_bytes, now + longest_wait(announced_bytes)};
+void awaited_bodies::expect(const attempt_id& attempt, std::size_t announced_bytes,
+                            std::shared_ptr<byte_share> share, instant now) {
+    this->waits[attempt] = {.announced_bytes = announced_bytes,
+                            .until = now + longest_wait(announced_bytes),
+                            .received = {},
+                            .share = std::move(share)};
 }
 
-body_arrival awaited_bodies::arrive(const attempt_id& attempt, std::size_t received_bytes) {
+body_arrival awaited_bodies::arrive(const attempt_id& attempt, std::size_t offset, const std::string& bytes) {
     const auto found = this->waits.find(attempt);
-    if (found == this->waits.end()) {
+    if (found == this->waits.end() || offset != found->second.received.size()) {
         return body_arrival::unwanted;
     }
-    const bool matches = found->second.announced_bytes == received_bytes;
-    this->waits.erase(found);
-    return matches ? body_arrival::expected : body_arrival::wrong_size;
+    auto& awaited = found->second;
+    const auto left = awaited.announced_bytes - awaited.received.size();
+    if (bytes.size() != left && bytes.size() != this->next_part(attempt).length) {
+        this->waits.erase(found);
+        return body_arrival::wrong_size;
+    }
+    awaited.received.reserve(awaited.announced_bytes);
+    awaited.received.append(bytes);
+    return bytes.size() == left ? body_arrival::complete : body_arrival::partial;
+}
+
+body_range awaited_bodies::next_part(const attempt_id& attempt) const {
+    const auto& awaited = this->waits.at(attempt);
+    const auto offset = awaited.received.size();
+    return {.offset = offset, .length = std::min(max_body_part, awaited.announced_bytes - offset)};
+}
+
+shared_body awaited_bodies::take(const attempt_id& attempt) {
+    auto taken = this->waits.extract(attempt);
+    return taken.empty() ? shared_body{}
+                         : shared_body{std::move(taken.mapped().received), std::move(taken.mapped().share)};
 }
 
 std::vector<attempt_id> awaited_bodies::take_overdue(instant now) {
--- a/src/chervilturn/admission/awaited_bodies.hpp
+++ b/src/chervilturn/admission/awaited_bodies.hpp
@@ -8,21 +8,40 @@
 
 namespace chervilturn {
 
-/// @brief Whether a body that arrived belongs to a waiting call.
+/// @brief Longest part of a body that is requested at once, in bytes.
+inline constexpr std::size_t max_body_part = 256UL * 1024;
+
+/// @brief What bytes that arrived are for a waiting call.
 enum class body_arrival {
-    expected,  // it is the body that was requested
-    unwanted,  // no call waits for it, since the call has ended or has its body
-    wrong_size // it is shorter or longer than the entry announced
+    complete,  // the last part of its body
+    partial,   // the requested part, and more are to be requested
+    unwanted,  // no call waits for them, or they have arrived before
+    wrong_size // they are shorter or longer than what was requested, and the wait has ended
+};
+
+/// @brief A part of a body, by its place.
+struct body_range {
+    std::size_t offset = 0;
+    std::size_t length = 0;
 };
 
-/// @brief Limits how long an admitted call, which takes a slot or a place in the queue, waits for its body.
+/// @brief Puts the bodies of admitted calls together and limits how long a call, which takes a slot or a
+/// place in the queue, waits for its body.
 class awaited_bodies {
   public:
-    /// @brief Records that a body was requested.
-    void expect(const attempt_id& attempt, std::size_t announced_bytes, instant now);
+    /// @brief Begins to wait for a body. The share is what it draws from a byte budget; it may be null.
+    void expect(const attempt_id& attempt, std::size_t announced_bytes, std::shared_ptr<byte_share> share,
+                instant now);
+
+    /// @brief Takes bytes that arrived. An entry of an older version sends the whole body at once.
+    [[nodiscard]] body_arrival arrive(const attempt_id& attempt, std::size_t offset,
+                                      const std::string& bytes);
+
+    /// @brief The part to request next. The call must wait for its body.
+    [[nodiscard]] body_range next_part(const attempt_id& attempt) const;
 
-    /// @brief Ends the wait for a body that arrived.
-    [[nodiscard]] body_arrival arrive(const attempt_id& attempt, std::size_t received_bytes);
+    /// @brief Removes and returns a complete body; an empty one if the call does not wait.
+    [[nodiscard]] shared_body take(const attempt_id& attempt);
 
     /// @brief Whether the call still waits for its body.
     [[nodiscard]] bool contains(const attempt_id& attempt) const noexcept {
@@ -41,6 +60,8 @@
     struct wait {
         std::size_t announced_bytes = 0;
         instant until;
+        std::string received;              // the parts so far
+        std::shared_ptr<byte_share> share; // of the whole body; may be null
     };
 
     std::unordered_map<attempt_id, wait, attempt_id_hash> waits;
--- a/src/chervilturn/call/call.cpp
+++ b/src/chervilturn/call/call.cpp
@@ -40,7 +40,8 @@
                                                                   "backend_renamed",
                                                                   "server_rate_limited",
                                                                   "request_held",
-                                                                  "body_not_received"};
+                                                                  "body_not_received",
+                                                                  "memory_full"};
 
 constexpr std::size_t uuid_length = 36;
 constexpr std::size_t uuid_version_position = 14; // the UUID's version digit
--- a/src/chervilturn/call/call.hpp
+++ b/src/chervilturn/call/call.hpp
@@ -57,7 +57,8 @@
     backend_renamed,     // the backend server's name is not the one that the call was sent to
     server_rate_limited, // the rate that the backend server states has no room in time
     request_held,        // the same request has crashed backend servers
-    body_not_received    // the entry did not send the call's body in time
+    body_not_received,   // the entry did not send the call's body in time
+    memory_full          // the owner has no room for the call's body
 };
 
 /// @brief Returns the name of an outcome in response headers and logs.
@@ -67,7 +68,7 @@
 [[nodiscard]] std::string_view to_string(reason value) noexcept;
 
 /// @brief Number of reasons; the size of tables indexed by reason.
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::body_not_received) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::memory_full) + 1;
 
 /// @brief Identity of one attempt, unique across the fleet.
 struct attempt_id {
--- a/src/chervilturn/call/retry.cpp
+++ b/src/chervilturn/call/retry.cpp
@@ -102,7 +102,7 @@
 
 bool is_lack_of_room(reason why) noexcept {
     return why == reason::would_be_late || why == reason::queue_full || why == reason::deadline_too_near ||
-           why == reason::backend_slow || why == reason::server_rate_limited;
+           why == reason::backend_slow || why == reason::server_rate_limited || why == reason::memory_full;
 }
 
 bool is_final(reason why) noexcept {
--- a/src/chervilturn/node/messages.hpp
+++ b/src/chervilturn/node/messages.hpp
@@ -137,9 +137,9 @@
     attempt_id attempt;
 };
 
-/// @brief Asks the entry of an attempt for the body that it has withheld.
+/// @brief Asks the entry of an attempt for a part of the body that it has withheld.
 struct request_body {
-    attempt_id attempt;
+    body_request part;
 };
 
 /// @brief Sends settings to a subscribed peer.
--- a/src/chervilturn/node/outstanding_attempts.cpp
+++ b/src/chervilturn/node/outstanding_attempts.cpp
@@ -50,15 +50,23 @@
         return false;
     }
     found->second.forget_at = now + cancel_retention;
+    found->second.withheld_body = {};
     return true;
 }
 
-std::optional<shared_body> outstanding_attempts::take_body(const attempt_id& attempt) {
-    const auto found = this->attempts.find(attempt);
-    if (found == this->attempts.end() || found->second.forget_at || found->second.withheld_body.empty()) {
+std::optional<std::string> outstanding_attempts::body_part(const body_request& request) {
+    const auto found = this->attempts.find(request.attempt);
+    if (found == this->attempts.end() || found->second.forget_at) {
+        return std::nullopt;
+    }
+    auto& body = found->second.withheld_body;
+    if (request.offset >= body.size()) {
         return std::nullopt;
     }
-    return std::exchange(found->second.withheld_body, {});
+    if (request.length == 0) {
+        return std::string{std::exchange(body, {}).text()};
+    }
+    return std::string{body.text().substr(request.offset, request.length)};
 }
 
 std::optional<answer> outstanding_attempts::on_answer(answer ended, instant now) {
--- a/src/chervilturn/node/outstanding_attempts.hpp
+++ b/src/chervilturn/node/outstanding_attempts.hpp
@@ -40,9 +40,10 @@
     /// @brief The entry waits no longer for an attempt. Returns false if there is none.
     [[nodiscard]] bool cancel(const attempt_id& attempt, instant now);
 
-    /// @brief The body that the owner requests; nothing if it was sent before or the attempt has ended. It is
-    /// sent once: an owner that loses it with the connection refuses the call.
-    [[nodiscard]] std::optional<shared_body> take_body(const attempt_id& attempt);
+    /// @brief The part of the body that the owner requests; nothing if the body has no such part or the
+    /// attempt has ended. A request for the whole body is answered once: an owner that loses it with the
+    /// connection refuses the call.
+    [[nodiscard]] std::optional<std::string> body_part(const body_request& request);
 
     /// @brief The owner answered. Returns the answer for the entry; nothing if nobody waits for it.
     [[nodiscard]] std::optional<answer> on_answer(answer ended, instant now);
@@ -62,7 +63,7 @@
         instant deadline;
         std::uint64_t owner_incarnation = 0; // of the owner that it was sent to; 0 until it is sent
         std::optional<instant> forget_at;    // of a cancelled attempt, which nobody here waits for
-        shared_body withheld_body;           // until the owner requests it; empty when there is none
+        shared_body withheld_body;           // empty when there is none
     };
 
     std::unordered_map<attempt_id, state, attempt_id_hash> attempts;
--- a/src/chervilturn/node/owner_task.cpp
+++ b/src/chervilturn/node/owner_task.cpp
@@ -157,21 +157,26 @@
 }
 
 void owner_task::handle(call_body&& received) {
-    const auto arrival = this->bodies.arrive(received.attempt, received.body.size());
+    const auto arrival = this->bodies.arrive(received.attempt, received.offset, received.bytes);
     if (arrival == body_arrival::unwanted) {
-        return; // the call has ended since the body was requested
+        return; // the call has ended since the body was requested, or the part was requested again
+    }
+    if (arrival == body_arrival::partial) {
+        this->request_body_part(received.attempt);
+        return;
     }
     auto& owned = this->calls.at(received.attempt);
     if (arrival == body_arrival::wrong_size) {
         log_event(log_level::warn, "call_body_rejected",
                   {{"request", owned.received.request_id},
                    {"entry", received.attempt.entry},
-                   {"bytes", received.body.size()},
+                   {"offset", received.offset},
+                   {"bytes", received.bytes.size()},
                    {"announced", owned.received.withheld_bytes}});
         this->refuse_unstarted(received.attempt, reason::body_not_received);
         return;
     }
-    owned.received.body = std::move(received.body);
+    owned.received.body = this->bodies.take(received.attempt);
     owned.received.withheld_bytes = 0;
     const auto refusal_cause = this->refusal_reason(owned.received);
     if (refusal_cause != reason::none) {
@@ -227,7 +232,7 @@
     case attempt_state::in_progress:
         this->context->mailboxes->peer_server.post(return_pending{request.attempt});
         if (this->bodies.contains(request.attempt)) { // the request for it may be lost with its connection
-            this->context->mailboxes->peer_server.post(request_body{request.attempt});
+            this->request_body_part(request.attempt);
         }
         break;
     case attempt_state::ended:
@@ -364,19 +369,21 @@
         this->keys.begin(received);
         this->attempts_by_key[scoped_key(received).text] = attempt;
     }
-    this->add_admitted(std::move(received), new_entry.deadline, now);
+    const bool is_kept = this->add_admitted(std::move(received), new_entry.deadline, now);
     if (const auto* queue_decision = std::get_if<queued>(&decision)) {
         if (queue_decision->evicted) {
             this->finish(refuse(queue_decision->evicted->attempt, outcome::not_run, reason::queue_full));
         }
         return;
     }
-    this->dispatch(attempt);
+    if (is_kept) {
+        this->dispatch(attempt);
+    }
 }
 
 // An admitted call takes a slot or a place in the queue, so the body that its entry has withheld is requested
-// now and is here by the time that a queued call starts.
-void owner_task::add_admitted(call&& received, instant deadline, instant now) {
+// now and is here by the time that a queued call starts. Without room for the body the call is refused.
+bool owner_task::add_admitted(call&& received, instant deadline, instant now) {
     const auto attempt = received.attempt;
     owned_call new_call{.received = std::move(received),
                         .admitted_at = now,
@@ -386,10 +393,37 @@
                         .duplicates = {}};
     const auto withheld_bytes = new_call.received.withheld_bytes;
     this->calls.emplace(attempt, std::move(new_call));
-    if (withheld_bytes > 0) {
-        this->bodies.expect(attempt, withheld_bytes, now);
-        this->context->mailboxes->peer_server.post(request_body{attempt});
+    if (withheld_bytes == 0) {
+        return true;
+    }
+    auto share = this->draw_for_body(withheld_bytes);
+    if (this->context->bodies != nullptr && share == nullptr) {
+        this->refuse_unstarted(attempt, reason::memory_full);
+        return false;
+    }
+    this->bodies.expect(attempt, withheld_bytes, std::move(share), now);
+    this->request_body_part(attempt);
+    return true;
+}
+
+// Null without room, and without a budget.
+std::shared_ptr<byte_share> owner_task::draw_for_body(std::size_t bytes) {
+    if (this->context->bodies == nullptr) {
+        return nullptr;
+    }
+    auto share = std::make_shared<byte_share>(
+        *this->context->bodies, [] {}, share_kind::request);
+    if (share->grow_to(bytes) != byte_grant::granted) {
+        return nullptr;
     }
+    share->complete(bytes);
+    return share;
+}
+
+void owner_task::request_body_part(const attempt_id& attempt) {
+    const auto part = this->bodies.next_part(attempt);
+    this->context->mailboxes->peer_server.post(
+        request_body{{.attempt = attempt, .offset = part.offset, .length = part.length}});
 }
 
 // Repeats the check of the settings and the deadline, then sends the call to the backend server. A call that
--- a/src/chervilturn/node/owner_task.hpp
+++ b/src/chervilturn/node/owner_task.hpp
@@ -67,7 +67,10 @@
     // Answers a call together with the call in progress that has the same key.
     void join_duplicate(const call& received);
     void admit(call&& received);
-    void add_admitted(call&& received, instant deadline, instant now);
+    // False when the call was refused for lack of room for its body.
+    bool add_admitted(call&& received, instant deadline, instant now);
+    [[nodiscard]] std::shared_ptr<byte_share> draw_for_body(std::size_t bytes);
+    void request_body_part(const attempt_id& attempt);
     // Gives the slot of an admitted call to the call: starts it, or waits for its body.
     void dispatch(const attempt_id& attempt);
     // Refuses a call that waits in the queue or, with its slot, for its body.
--- a/src/chervilturn/node/peer_client_task.cpp
+++ b/src/chervilturn/node/peer_client_task.cpp
@@ -328,8 +328,10 @@
     if (!target.is_ready()) {
         return;
     }
-    if (auto body = target.outstanding.take_body(request.attempt)) {
-        this->send_on(target, call_body{.attempt = request.attempt, .body = std::move(*body)});
+    if (auto part = target.outstanding.body_part(request)) {
+        this->send_on(
+            target,
+            call_body{.attempt = request.attempt, .offset = request.offset, .bytes = std::move(*part)});
     }
 }
 
--- a/src/chervilturn/node/peer_server_task.cpp
+++ b/src/chervilturn/node/peer_server_task.cpp
@@ -41,7 +41,7 @@
 }
 
 void peer_server_task::handle(const request_body& request) {
-    this->send_to_entry(request.attempt.entry, body_request{request.attempt});
+    this->send_to_entry(request.part.attempt.entry, request.part);
 }
 
 void peer_server_task::handle(const send_update& request) {
--- a/src/chervilturn/transport/codec.cpp
+++ b/src/chervilturn/transport/codec.cpp
@@ -45,6 +45,19 @@
     return {.entry = source.getEntry(), .sequence = source.getSequence()};
 }
 
+void write_body_request(wire::BodyRequest::Builder target, const body_request& outgoing) {
+    target.setEntry(outgoing.attempt.entry);
+    target.setSequence(outgoing.attempt.sequence);
+    target.setOffset(outgoing.offset);
+    target.setLength(outgoing.length);
+}
+
+[[nodiscard]] body_request read_body_request(wire::BodyRequest::Reader source) {
+    return {.attempt = {.entry = source.getEntry(), .sequence = source.getSequence()},
+            .offset = static_cast<std::size_t>(source.getOffset()),
+            .length = static_cast<std::size_t>(source.getLength())};
+}
+
 void write_headers(capnp::List<wire::Header>::Builder target, const std::vector<header>& headers) {
     for (std::size_t index = 0; index < headers.size(); ++index) {
         auto item = target[static_cast<unsigned>(index)];
@@ -124,6 +137,7 @@
 [[nodiscard]] reason reason_for_older_nodes(reason why) {
     switch (why) {
     case reason::server_rate_limited:
+    case reason::memory_full:
         return reason::queue_full;
     case reason::request_held:
         return reason::bad_request;
@@ -301,11 +315,12 @@
                    [&](const cancel& item) { write_attempt(frame.initCancel(), item.attempt); },
                    [&](const inquiry& item) { write_attempt(frame.initInquire(), item.attempt); },
                    [&](const pending& item) { write_attempt(frame.initPending(), item.attempt); },
-                   [&](const body_request& item) { write_attempt(frame.initBodyRequest(), item.attempt); },
+                   [&](const body_request& item) { write_body_request(frame.initBodyRequest(), item); },
                    [&](const call_body& item) {
                        auto target = frame.initCallBody();
                        write_attempt(target.initAttempt(), item.attempt);
-                       target.setBody(to_data(item.body.text()));
+                       target.setBody(to_data(item.bytes));
+                       target.setOffset(item.offset);
                    },
                    [&](const ping& item) { frame.setPing(item.nonce); },
                    [&](const pong& item) { frame.setPong(item.nonce); },
@@ -360,10 +375,11 @@
     case wire::Frame::COMPARISON:
         return message{read_comparison(frame.getComparison())};
     case wire::Frame::BODY_REQUEST:
-        return message{body_request{read_attempt(frame.getBodyRequest())}};
+        return message{read_body_request(frame.getBodyRequest())};
     case wire::Frame::CALL_BODY:
-        return message{call_body{read_attempt(frame.getCallBody().getAttempt()),
-                                 from_data(frame.getCallBody().getBody())}};
+        return message{call_body{.attempt = read_attempt(frame.getCallBody().getAttempt()),
+                                 .offset = static_cast<std::size_t>(frame.getCallBody().getOffset()),
+                                 .bytes = from_data(frame.getCallBody().getBody())}};
     }
     return codec_error{"frame has an unknown type"};
 }
--- a/src/chervilturn/transport/message.hpp
+++ b/src/chervilturn/transport/message.hpp
@@ -25,15 +25,20 @@
     bool requests_bodies = true;     // false from nodes of older versions
 };
 
-/// @brief Asks an entry for the body of a call that it sent without one. The owner has room for the call.
+/// @brief Asks an entry for a part of the body of a call that it sent without one. The owner has room for the
+/// call and for its body.
 struct body_request {
     attempt_id attempt;
+    std::size_t offset = 0;
+    std::size_t length = 0; // 0 from nodes of older versions, which ask for the whole body
 };
 
-/// @brief The body of a call that was sent without it.
+/// @brief A part of the body of a call that was sent without it. Nodes of older versions send the whole body,
+/// whatever was asked for.
 struct call_body {
     attempt_id attempt;
-    shared_body body;
+    std::size_t offset = 0;
+    std::string bytes;
 };
 
 /// @brief Asks an owner to cancel an attempt.
--- a/src/chervilturn/transport/wire.capnp.h
+++ b/src/chervilturn/transport/wire.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(be6a5159f2be7c20);
 CAPNP_DECLARE_SCHEMA(b8eecd9c23727252);
 CAPNP_DECLARE_SCHEMA(b64b1b596b5d53ef);
+CAPNP_DECLARE_SCHEMA(c983be26ae1f6fa6);
 CAPNP_DECLARE_SCHEMA(871bf86223278fbd);
 CAPNP_DECLARE_SCHEMA(c75f52b5205473a6);
 CAPNP_DECLARE_SCHEMA(ed1bb632b5e17b2e);
@@ -138,6 +139,21 @@
   };
 };
 
+struct BodyRequest {
+  BodyRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c983be26ae1f6fa6, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CallBody {
   CallBody() = delete;
 
@@ -146,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(871bf86223278fbd, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(871bf86223278fbd, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,7 +463,7 @@
 
   inline bool isBodyRequest() const;
   inline bool hasBodyRequest() const;
-  inline  ::chervilturn::wire::AttemptId::Reader getBodyRequest() const;
+  inline  ::chervilturn::wire::BodyRequest::Reader getBodyRequest() const;
 
   inline bool isCallBody() const;
   inline bool hasCallBody() const;
@@ -604,11 +620,11 @@
 
   inline bool isBodyRequest();
   inline bool hasBodyRequest();
-  inline  ::chervilturn::wire::AttemptId::Builder getBodyRequest();
-  inline void setBodyRequest( ::chervilturn::wire::AttemptId::Reader value);
-  inline  ::chervilturn::wire::AttemptId::Builder initBodyRequest();
-  inline void adoptBodyRequest(::capnp::Orphan< ::chervilturn::wire::AttemptId>&& value);
-  inline ::capnp::Orphan< ::chervilturn::wire::AttemptId> disownBodyRequest();
+  inline  ::chervilturn::wire::BodyRequest::Builder getBodyRequest();
+  inline void setBodyRequest( ::chervilturn::wire::BodyRequest::Reader value);
+  inline  ::chervilturn::wire::BodyRequest::Builder initBodyRequest();
+  inline void adoptBodyRequest(::capnp::Orphan< ::chervilturn::wire::BodyRequest>&& value);
+  inline ::capnp::Orphan< ::chervilturn::wire::BodyRequest> disownBodyRequest();
 
   inline bool isCallBody();
   inline bool hasCallBody();
@@ -1184,6 +1200,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class BodyRequest::Reader {
+public:
+  typedef BodyRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEntry() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::uint64_t getLength() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BodyRequest::Builder {
+public:
+  typedef BodyRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::uint64_t getLength();
+  inline void setLength( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BodyRequest::Pipeline {
+public:
+  typedef BodyRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CallBody::Reader {
 public:
   typedef CallBody Reads;
@@ -1207,6 +1314,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline  ::uint64_t getOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1249,6 +1358,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3524,41 +3636,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::chervilturn::wire::AttemptId::Reader Frame::Reader::getBodyRequest() const {
+inline  ::chervilturn::wire::BodyRequest::Reader Frame::Reader::getBodyRequest() const {
   KJ_IREQUIRE((which() == Frame::BODY_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::chervilturn::wire::AttemptId::Builder Frame::Builder::getBodyRequest() {
+inline  ::chervilturn::wire::BodyRequest::Builder Frame::Builder::getBodyRequest() {
   KJ_IREQUIRE((which() == Frame::BODY_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Frame::Builder::setBodyRequest( ::chervilturn::wire::AttemptId::Reader value) {
+inline void Frame::Builder::setBodyRequest( ::chervilturn::wire::BodyRequest::Reader value) {
   _builder.setDataField<Frame::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_REQUEST);
-  ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::chervilturn::wire::AttemptId::Builder Frame::Builder::initBodyRequest() {
+inline  ::chervilturn::wire::BodyRequest::Builder Frame::Builder::initBodyRequest() {
   _builder.setDataField<Frame::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_REQUEST);
-  return ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Frame::Builder::adoptBodyRequest(
-    ::capnp::Orphan< ::chervilturn::wire::AttemptId>&& value) {
+    ::capnp::Orphan< ::chervilturn::wire::BodyRequest>&& value) {
   _builder.setDataField<Frame::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::BODY_REQUEST);
-  ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::chervilturn::wire::AttemptId> Frame::Builder::disownBodyRequest() {
+inline ::capnp::Orphan< ::chervilturn::wire::BodyRequest> Frame::Builder::disownBodyRequest() {
   KJ_IREQUIRE((which() == Frame::BODY_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::chervilturn::wire::AttemptId>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::chervilturn::wire::BodyRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -4437,6 +4549,62 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BodyRequest::Reader::getEntry() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodyRequest::Builder::getEntry() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BodyRequest::Builder::setEntry( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BodyRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodyRequest::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BodyRequest::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BodyRequest::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodyRequest::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BodyRequest::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BodyRequest::Reader::getLength() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodyRequest::Builder::getLength() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BodyRequest::Builder::setLength( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CallBody::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4510,6 +4678,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CallBody::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallBody::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallBody::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getInUse() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/test/chervilturn/node/outstanding_attempts_test.cpp
+++ b/test/chervilturn/node/outstanding_attempts_test.cpp
@@ -142,25 +142,34 @@
     CHECK(fixture.send().remaining == 900ms);
 }
 
-TEST_CASE("a long body is handed out once") {
+TEST_CASE("a long body is handed out on request") {
     one_attempt fixture;
     const auto sent = fixture.send(100'000);
     CHECK(sent.body.empty());
     CHECK(sent.withheld_bytes == 100'000);
 
-    SECTION("on the owner's request") {
-        const auto body = fixture.attempts.take_body(first);
+    SECTION("on the request of an owner of an older version") {
+        const auto body = fixture.attempts.body_part({.attempt = first});
         REQUIRE(body);
         CHECK(body->size() == 100'000);
-        CHECK_FALSE(fixture.attempts.take_body(first));
+        CHECK_FALSE(fixture.attempts.body_part({.attempt = first}));
+    }
+    SECTION("in the parts that the owner requests, also again") {
+        for (int time = 0; time < 2; ++time) {
+            const auto part =
+                fixture.attempts.body_part({.attempt = first, .offset = 90'000, .length = 20'000});
+            REQUIRE(part);
+            CHECK(part->size() == 10'000);
+        }
+        CHECK_FALSE(fixture.attempts.body_part({.attempt = first, .offset = 100'000, .length = 1}));
     }
     SECTION("also when the first request was lost with its connection and the owner asks again") {
         static_cast<void>(fixture.attempts.on_replaced(owner_process, start + 200ms));
-        CHECK(fixture.attempts.take_body(first));
+        CHECK(fixture.attempts.body_part({.attempt = first}));
     }
     SECTION("but not for a cancelled call") {
         REQUIRE(fixture.attempts.cancel(first, start + 200ms));
-        CHECK_FALSE(fixture.attempts.take_body(first));
+        CHECK_FALSE(fixture.attempts.body_part({.attempt = first}));
     }
 }
 
--- a/test/chervilturn/node/peer_client_task_test.cpp
+++ b/test/chervilturn/node/peer_client_task_test.cpp
@@ -146,7 +146,7 @@
         fixture.send(2, 1);
         REQUIRE(fixture.bodies.size() == 1);
         CHECK(fixture.bodies.front().attempt == attempt_id{1, 1});
-        CHECK(fixture.bodies.front().body == std::string(large_body, 'x'));
+        CHECK(fixture.bodies.front().bytes == std::string(large_body, 'x'));
         CHECK(fixture.sent(traffic_kind::body) >= large_body);
         CHECK(fixture.sent(traffic_kind::body) < 2 * large_body);
         CHECK(fixture.sent(traffic_kind::offer) < 2000);
--- a/test/chervilturn/transport/codec_test.cpp
+++ b/test/chervilturn/transport/codec_test.cpp
@@ -70,13 +70,16 @@
     const auto received_offer = decode_frame(encode(offer));
     REQUIRE(succeeded(received_offer));
     CHECK(std::get<call>(value_of(received_offer)).withheld_bytes == body.size());
-    const auto received_request = decode_frame(encode(body_request{{7, 9}}));
+    const auto received_request = decode_frame(encode(body_request{{7, 9}, 5, 6}));
     REQUIRE(succeeded(received_request));
     CHECK(std::get<body_request>(value_of(received_request)).attempt == attempt_id{7, 9});
-    const auto received_body = decode_frame(encode(call_body{{7, 9}, body}));
+    CHECK(std::get<body_request>(value_of(received_request)).offset == 5);
+    CHECK(std::get<body_request>(value_of(received_request)).length == 6);
+    const auto received_body = decode_frame(encode(call_body{{7, 9}, 5, std::string{body.text()}}));
     REQUIRE(succeeded(received_body));
     CHECK(std::get<call_body>(value_of(received_body)).attempt == attempt_id{7, 9});
-    CHECK(std::get<call_body>(value_of(received_body)).body == body);
+    CHECK(std::get<call_body>(value_of(received_body)).offset == 5);
+    CHECK(std::get<call_body>(value_of(received_body)).bytes == body.text());
 }
 
 TEST_CASE("an answer carries the stated rate and a reason that older nodes do not know") {
