Bound callers' connections below the descriptors of the process

What was seen: idle connections took all descriptors; a new client got no answer, and peers, the backend server and the store could not be reached either.

Cause: connections were accepted up to the limit of the process.

Change: limits.max_connections (2048), never more than half of the descriptors that the process may have. Beyond it the connection that has been idle for the longest time ends, with a log line; while none is idle, accepting pauses until one is idle or ends. Gauge caller_connections.

--- a/src/chervilturn/config/node_settings.cpp
+++ b/src/chervilturn/config/node_settings.cpp
@@ -56,6 +56,8 @@
         static_cast<std::size_t>(reader.number_or("memory_mb", {16.0, max_memory_mb},
                                                   static_cast<double>(limits.memory_bytes) / bytes_in_mb) *
                                  bytes_in_mb);
+    limits.max_connections = static_cast<std::size_t>(reader.integer_or(
+        "max_connections", {16, 1'000'000}, static_cast<std::int64_t>(limits.max_connections)));
     limits.max_calls = static_cast<std::size_t>(
         reader.integer_or("max_calls", {1, 1'000'000}, static_cast<std::int64_t>(limits.max_calls)));
     limits.max_pipelined_requests = static_cast<std::size_t>(reader.integer_or(
--- a/src/chervilturn/config/node_settings.hpp
+++ b/src/chervilturn/config/node_settings.hpp
@@ -19,6 +19,8 @@
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 8UL * 1024 * 1024;
     std::size_t memory_bytes = 256UL << 20U; // that the platform gives the process
+    // Of callers, open at the same time; never more than half of the descriptors that the process may have.
+    std::size_t max_connections = 2048;
     std::size_t max_calls = 4096; // concurrent calls from callers at this entry
     // Of the requests of one callers' connection that have no response yet; reading pauses beyond them.
     std::size_t max_pipelined_requests = 32;
--- a/src/chervilturn/node/entry_task.cpp
+++ b/src/chervilturn/node/entry_task.cpp
@@ -6,6 +6,8 @@
 #include "chervilturn/observe/log.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <sys/resource.h>
 
 namespace chervilturn {
 
@@ -15,6 +17,13 @@
 constexpr std::uint16_t status_misdirected = 421;
 constexpr std::uint16_t status_bad_gateway = 502;
 constexpr std::uint16_t status_unavailable = 503;
+// The descriptors that the process may have open.
+[[nodiscard]] std::size_t max_descriptors() {
+    rlimit allowed{};
+    return getrlimit(RLIMIT_NOFILE, &allowed) == 0 ? static_cast<std::size_t>(allowed.rlim_cur)
+                                                   : std::numeric_limits<std::size_t>::max();
+}
+
 // A shorter time between the first byte of a request and its start is not reported.
 constexpr microseconds min_reported_wait = std::chrono::milliseconds{5};
 
@@ -203,6 +212,7 @@
 }
 
 void entry_task::on_request(std::shared_ptr<http_exchange> exchange) {
+    this->context->stats->gauges().caller_connections = this->server->connection_count();
     const auto id = this->context->protocols.callers->request_id(exchange->request());
     if (exchange->client_has_left()) {
         ++this->context->stats->counters().refusals.at(static_cast<std::size_t>(reason::cancelled));
@@ -466,7 +476,8 @@
         .max_header_bytes = limits.max_header_bytes,
         .max_body_bytes = limits.max_body_bytes,
         .pipeline = {.max_requests = limits.max_pipelined_requests, .max_bytes = limits.max_pipelined_bytes},
-        .bodies = this->context->bodies};
+        .bodies = this->context->bodies,
+        .max_connections = std::min(limits.max_connections, max_descriptors() / 2)};
 }
 
 // Caller limits in the accepted settings override those of the node's settings file.
--- a/src/chervilturn/observe/metrics.cpp
+++ b/src/chervilturn/observe/metrics.cpp
@@ -243,6 +243,7 @@
     write_gauge(text, "door_in_use", static_cast<double>(gauges.admission_in_use));
     write_gauge(text, "door_queued", static_cast<double>(gauges.admission_queued));
     write_gauge(text, "body_bytes_held", static_cast<double>(gauges.body_bytes_held));
+    write_gauge(text, "caller_connections", static_cast<double>(gauges.caller_connections));
     write_gauge(text, "requests_held", static_cast<double>(gauges.requests_held));
     write_gauge(text, "requests_suspected", static_cast<double>(gauges.requests_suspected));
     write_gauge(text, "backend_server_cold", gauges.backend_server_cold ? 1.0 : 0.0);
--- a/src/chervilturn/observe/metrics.hpp
+++ b/src/chervilturn/observe/metrics.hpp
@@ -93,7 +93,8 @@
     bool backend_server_cold = false;
     std::optional<double> server_rate_limit; // calls per second that the backend server states; nothing: none
     microseconds server_rate_age{};          // since a response last stated it
-    std::uint64_t body_bytes_held = 0;       // of message bodies that pass through the process
+    std::uint64_t body_bytes_held = 0;       // of requests and responses that pass through the process
+    std::uint64_t caller_connections = 0;    // open at the latest request
     bool server_leaving = false;             // by the backend server's own statement
     std::map<std::string, double> retry_budget_left; // allowed retries, by name of the budget
 };
--- a/src/chervilturn/transport/http.hpp
+++ b/src/chervilturn/transport/http.hpp
@@ -77,6 +77,8 @@
     microseconds idle_timeout = std::chrono::seconds{75};   // between two requests of a connection
     pipeline_options pipeline{};
     byte_budget* bodies = nullptr; // of requests and responses, outlives the server; null: no limit in all
+    // Beyond them the connection that has been idle for the longest time ends; 0: no limit.
+    std::size_t max_connections = 0;
 };
 
 namespace internal {
@@ -168,6 +170,10 @@
     void check_timeouts();
     void resume_reading();
     void relieve();
+    // Makes room for a connection; false when none is idle. Then one whose client holds up its request ends
+    // soon.
+    bool end_longest_idle();
+    void resume_accepting();
     // Ends the client that holds up others, if it has made no progress for this long.
     bool end_one(microseconds stall, const internal::server_connection* spared = nullptr);
     void remove(const internal::server_connection& closed_connection);
@@ -181,6 +187,7 @@
     wake_up shortage; // ends clients that hold up others
     std::list<std::shared_ptr<internal::server_connection>> connections;
     bool closing = false; // close_after_responses was called
+    bool is_full = false; // accepts no connection until one of them ends or is idle
     timer timeout_timer;
 };
 
--- a/src/chervilturn/transport/http_server.cpp
+++ b/src/chervilturn/transport/http_server.cpp
@@ -79,6 +79,14 @@
         return this->pipeline.empty() && !this->reading_since && this->unwritten() == 0;
     }
 
+    [[nodiscard]] microseconds idle_for(instant now) const noexcept { return elapsed(this->idle_since, now); }
+
+    /// @brief Whether a request has begun to arrive, and its client holds it up.
+    [[nodiscard]] bool has_stalled(instant now) const noexcept {
+        return this->reading_since && !this->awaits_room && this->pipeline.empty() &&
+               this->arriving.stalled_for(now) >= min_stall;
+    }
+
     /// @brief The bytes that are held because the client sends or takes slowly.
     [[nodiscard]] held_client held(instant now) {
         if (this->holds_output()) {
@@ -532,6 +540,40 @@
 
 void http_server::on_accepted(int accepted_socket) {
     this->connections.push_back(std::make_shared<internal::server_connection>(*this, accepted_socket));
+    if (this->options.max_connections > 0 && this->connections.size() > this->options.max_connections &&
+        !this->end_longest_idle()) {
+        this->is_full = true;
+        evconnlistener_disable(this->socket);
+    }
+}
+
+void http_server::resume_accepting() {
+    if (this->is_full && this->socket != nullptr) {
+        evconnlistener_enable(this->socket);
+    }
+    this->is_full = false;
+}
+
+bool http_server::end_longest_idle() {
+    const auto now = monotonic_clock::now();
+    const auto idle_time = [now](const auto& connection) {
+        return connection->is_idle() ? connection->idle_for(now) : microseconds{-1};
+    };
+    const auto longest = std::max_element(
+        this->connections.begin(), std::prev(this->connections.end()),
+        [&](const auto& left, const auto& right) { return idle_time(left) < idle_time(right); });
+    if (idle_time(*longest) >= microseconds::zero()) {
+        const auto ended = *longest;
+        ended->give_up("max_connections");
+        return true;
+    }
+    const auto stalled = std::find_if(this->connections.begin(), this->connections.end(),
+                                      [now](const auto& connection) { return connection->has_stalled(now); });
+    if (stalled != this->connections.end()) {
+        const auto rejected = *stalled;
+        rejected->give_up("max_connections"); // it ends when its client has had the time to read why
+    }
+    return false;
 }
 
 void http_server::check_timeouts() {
@@ -543,6 +585,9 @@
         }
     }
     this->relieve();
+    if (this->is_full && this->end_longest_idle()) {
+        this->resume_accepting();
+    }
 }
 
 // A copy of the list, since reading on may end a connection.
@@ -586,6 +631,9 @@
 void http_server::remove(const internal::server_connection& closed_connection) {
     this->connections.remove_if(
         [&closed_connection](const auto& connection) { return connection.get() == &closed_connection; });
+    if (this->connections.size() <= this->options.max_connections) {
+        this->resume_accepting();
+    }
 }
 
 } // namespace chervilturn
--- a/test/chervilturn/transport/http_shortage_test.cpp
+++ b/test/chervilturn/transport/http_shortage_test.cpp
@@ -27,12 +27,13 @@
     std::unique_ptr<http_server> server;
     std::vector<std::unique_ptr<raw_client>> clients;
 
-    explicit short_of_bytes(microseconds idle_timeout = 1h) {
+    explicit short_of_bytes(std::size_t max_connections = 0, microseconds idle_timeout = 1h) {
         auto listening = http_server::listen(this->loop, this->server_address,
                                              {.max_body_bytes = body_bytes,
                                               .header_timeout = 1h,
                                               .idle_timeout = idle_timeout,
-                                              .bodies = &this->bodies},
+                                              .bodies = &this->bodies,
+                                              .max_connections = max_connections},
                                              [this](std::shared_ptr<http_exchange> exchange) {
                                                  this->exchanges.push_back(std::move(exchange));
                                              });
@@ -133,7 +134,7 @@
 }
 
 TEST_CASE("a connection ends when its client takes nothing for the idle time") {
-    short_of_bytes fixture{300ms};
+    short_of_bytes fixture{0, 300ms};
     auto& client = fixture.send_short();
     client.pause_reading();
     REQUIRE(fixture.wait_for_requests(1));
@@ -147,4 +148,33 @@
     CHECK(wait_for(fixture.loop, [&] { return fixture.server->connection_count() == 0; }));
 }
 
+TEST_CASE("beyond the most connections the one that has been idle for the longest time ends") {
+    constexpr std::size_t most = 4;
+    short_of_bytes fixture{most};
+    for (std::size_t number = 0; number < most; ++number) {
+        fixture.add_client();
+        REQUIRE(wait_for(fixture.loop, [&] { return fixture.server->connection_count() == number + 1; }));
+    }
+    fixture.send_short();
+    REQUIRE(fixture.wait_for_requests(1));
+    CHECK(wait_for(fixture.loop, [&] { return fixture.clients.front()->ended(); }));
+    CHECK(fixture.server->connection_count() == most);
+    CHECK_FALSE(fixture.clients.at(1)->ended());
+
+    SECTION("while none is idle, a further one waits") {
+        for (std::size_t number = 1; number < most; ++number) {
+            fixture.clients.at(number)->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        REQUIRE(fixture.wait_for_requests(most));
+        fixture.send_short();
+        fixture.send_short();
+        REQUIRE(wait_for(fixture.loop, [&] { return fixture.server->connection_count() > most; }));
+        fixture.exchanges.front()->respond(
+            {.status = 200, .headers = {{"connection", "close"}}, .body = "done"});
+        fixture.clients.at(most)->reset();
+        fixture.clients.at(1)->reset();
+        CHECK(fixture.wait_for_requests(most + 2));
+    }
+}
+
 } // namespace chervilturn
