Refuse responses with a status that no response may have

What callers saw: a backend server that answers with status 000, 001, 099 or 20 was left out as an interim response, and the caller got 504 at its deadline; 600 and 999 passed as answers; after 101, which nobody asked for, the bytes behind it were read as HTTP.

Cause: the client took every status below 200 for an interim one and looked at no upper bound.

Change: the reader takes a response with a status below 100, above 599 or 101 for malformed.

Evidence: http_status_test; the four statuses below 100 and 101 left the client waiting, 600 and 999 were answers.

--- a/src/chervilturn/transport/http_reader.cpp
+++ b/src/chervilturn/transport/http_reader.cpp
@@ -77,6 +77,15 @@
 
 } // namespace
 
+// Whether a status is one that a response may have (RFC 9110, 15). A client that asked for no other protocol
+// gets no HTTP behind a 101.
+[[nodiscard]] bool is_response_status(std::uint16_t status) noexcept {
+    constexpr std::uint16_t lowest = 100;
+    constexpr std::uint16_t highest = 599;
+    constexpr std::uint16_t switching_protocols = 101;
+    return status >= lowest && status <= highest && status != switching_protocols;
+}
+
 /// @brief Callbacks of http-parser. A result other than 0 stops the parser, except for on_head.
 struct http_reader::callbacks {
     [[nodiscard]] static http_reader& reader_of(http_parser* parser) {
@@ -115,6 +124,9 @@
         reader.current_message.status = static_cast<std::uint16_t>(parser->status_code);
         if (reader.kind == http_kind::request) {
             reader.current_message.method = http_method_str(static_cast<http_method>(parser->method));
+        } else if (!is_response_status(reader.current_message.status)) {
+            constexpr int stop = -1;
+            return stop;
         }
         constexpr int no_body = 1;
         return reader.head_response ? no_body : 0;
