Say the common steps of the crowd tests once

Change: one function each; peak_memory is in the scenarios' prelude. Crowds, bounds and checks are the same, in the same order.

--- a/test/crowd/bodies_short_of_their_end.lua
+++ b/test/crowd/bodies_short_of_their_end.lua
@@ -6,8 +6,4 @@
   head = request_head("POST", "/upload?ms=1", "Content-Length: 4194304"),
   block = string.rep("x", 65536), block_count = 63, tail = string.rep("x", 65526) })
 wait_until_quiet(f, crowd)
-check_processes(f)
-check_ordinary_request(f)
-end_crowd(crowd)
-check_ordinary_request(f)
-check_processes(f)
+check_with_crowd_and_without(f, crowd)
--- a/test/crowd/chunks_without_end.lua
+++ b/test/crowd/chunks_without_end.lua
@@ -5,8 +5,4 @@
   head = request_head("POST", "/upload?ms=1", "Transfer-Encoding: chunked"),
   block = "10000\r\n" .. string.rep("x", 65536) .. "\r\n", block_count = 200 })
 wait_until_quiet(f, crowd)
-check_processes(f)
-check_ordinary_request(f)
-end_crowd(crowd)
-check_ordinary_request(f)
-check_processes(f)
+check_with_crowd_and_without(f, crowd)
--- a/test/crowd/lib/crowd.lua
+++ b/test/crowd/lib/crowd.lua
@@ -55,14 +55,6 @@
   end)
 end
 
--- The most memory that a process has had, in MB; nil when it has ended.
-local function peak_memory(node)
-  for line in io.lines("/proc/" .. node.pid .. "/status") do
-    local kilobytes = line:match("^VmHWM:%s+(%d+)")
-    if kilobytes then return kilobytes / 1024 end
-  end
-end
-
 -- Checks that both processes live and have kept within their memory.
 function check_processes(f)
   for name, node in pairs { entry = f.entry, owner = f.owner } do
@@ -73,6 +65,13 @@
   end
 end
 
+-- Waits until the backend server has run this many calls.
+function wait_until_run(f, calls)
+  wait_until("the calls of all clients have run", crowd_timeout, function()
+    return f:backend_stats(f.owner).total_runs >= calls
+  end)
+end
+
 -- Checks that one ordinary request is answered.
 function check_ordinary_request(f)
   local response = f:call(f.entry, { service = "archive", path = "/read?ms=1", deadline_ms = ordinary_deadline_ms,
@@ -80,3 +79,12 @@
   check(response.status == 200 and response.outcome == "completed", "an ordinary request is answered, status "
     .. tostring(response.status or response.failure) .. ", reason " .. tostring(response.reason))
 end
+
+-- Checks the processes and an ordinary request, with the crowd still there and after it has left.
+function check_with_crowd_and_without(f, crowd)
+  check_processes(f)
+  check_ordinary_request(f)
+  end_crowd(crowd)
+  check_ordinary_request(f)
+  check_processes(f)
+end
--- a/test/scenarios/answers_without_end.lua
+++ b/test/scenarios/answers_without_end.lua
@@ -12,14 +12,6 @@
 local owner = f.nodes["archive-capital-a-1"]
 local other = f.nodes["passports-capital-a-1"]
 
--- The most memory that a process has had, in MB.
-local function peak_memory(node)
-  for line in io.lines("/proc/" .. node.pid .. "/status") do
-    local kilobytes = line:match("^VmHWM:%s+(%d+)")
-    if kilobytes then return kilobytes / 1024 end
-  end
-end
-
 -- Starts as many calls at once as the faulty server takes, and serves other calls through the same node until they
 -- have ended. Returns the responses.
 local function call_at_once(entry, path, deadline_ms)
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -49,6 +49,14 @@
 end
 start_request = request -- the parameter of http() hides the global name
 
+-- The most memory that a process has had, in MB; nil when it has ended.
+function peak_memory(node)
+  for line in io.lines("/proc/" .. node.pid .. "/status") do
+    local kilobytes = line:match("^VmHWM:%s+(%d+)")
+    if kilobytes then return kilobytes / 1024 end
+  end
+end
+
 -- The loopback address with a port.
 function address_of(port) return "127.0.0.1:" .. port end
 
