--- a/review/stand_ins-3/case_11.cpp
+++ b/review/stand_ins-3/case_11.cpp
@@ -1,165 +1,175 @@
-// DRAIN: a backend server leaves without a word while the node that reads the store is down; the node beside
-// the server has failed to read the store in an outage that ended long before.
+// TWICE and REFUSED: backend servers send rejections of status checks once more, late; counts unsafe requests
+// that run more than once, and those that are refused although they ran.
 #include "harness.hpp"
 
-#include <algorithm>
-#include <csignal>
-#include <set>
+#include <cmath>
+#include <map>
+#include <random>
 
 namespace {
 
 using namespace review;
 
-constexpr double drain_ms = 2500.0;         // bound of sites/tvr-mesh.toml
-constexpr double contact_ms = 4000.0;       // after which calm machines and the store are in touch again
-constexpr double outage_ms = 6000.0;        // platform_down, how "reset": 8 s at most in that file
-constexpr double node_down_ms = 3500.0;     // node_kill, for_s: 3.5 at most in that file
-constexpr double serves_on_ms = 3000.0;     // drain_ms and a little longer
-constexpr double since_outage_ms = 10000.0; // from the outage's end to the removal
-constexpr int hosts = 3;
-constexpr int clients = 4;
+constexpr int hosts = 5;
+constexpr int faulty_hosts = 3;     // garble, share: 0.6 at most in sites/tvr-mesh.toml
+constexpr double copy_share = 0.03; // garble, x: 0.03 with "extra late" there
+constexpr double window_ms = 5000;  // garble, for_s: 5.0 there
+constexpr double pause_ms = 500;
+constexpr int windows = 17;
+constexpr int readers_of_host = 14;
+constexpr int payers_of_host = 4;
+constexpr double wave_ms = 1800;      // readers come in waves
+constexpr double crest_ms = 900;      // and send nothing in the rest of each
+constexpr double leaving_share = 0.3; // give_up, share: 0.3 there
+constexpr double aim_ms = 500;        // clients who leave do so within half of it
 
 constexpr const char* configuration =
     R"({"config_version":7,"routes":{"columns":["name","host","path_prefix","route_type","timeout_ms",)"
     R"("target_latency_ms","priority","service","max_attempts","allowed_regions","traffic_split"],"rows":)"
-    R"([["r1","shop.example","/pay/","unsafe",1500,600,1,"svc-a",2,[],null]]},"services":{"columns":)"
+    R"([["r1","shop.example","/read/","safe",1500,500,2,"svc-a",2,[],null],)"
+    R"(["r2","shop.example","/pay/","unsafe",1500,600,1,"svc-a",2,[],null]]},"services":{"columns":)"
     R"(["name","health_path","max_connections","protocol","tls","cold_start_s","cold_per_s"],"rows":)"
-    R"([["svc-a","/health",260,"h1",false,3.0,8.6]]},"limits":{"max_header_bytes":16384,)"
+    R"([["svc-a","/health",260,"h1",false,0,1000]]},"limits":{"max_header_bytes":16384,)"
     R"("max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-struct client_log {
+struct shared_state {
+    std::atomic<bool> done = false;
+    std::atomic<bool> some_leave = false;
     std::mutex guard;
-    std::vector<outcome> outcomes;
+    std::vector<outcome> payments;
+    std::atomic<int> reads_served = 0;
 };
 
-void run_client(int number, const std::string& ip, int port, const std::atomic<bool>& done, client_log& log) {
+[[nodiscard]] message request_for(const std::string& method, const std::string& target) {
+    return {
+        .method = method, .target = target, .status = 0, .fields = {{"Host", "shop.example"}}, .body = {}};
+}
+
+void run_reader(int number, const std::string& ip, int port, shared_state& state) {
+    std::mt19937 random{static_cast<unsigned>(number)};
+    std::uniform_real_distribution<double> share{0.0, 1.0};
     auto open_connection = connection::open(ip, port);
-    for (int count = 0; !done; ++count) {
-        const message request{.method = "POST",
-                              .target = "/pay/" + std::to_string(count),
-                              .status = 0,
-                              .fields = {{"Host", "shop.example"}},
-                              .body = "transfer"};
-        auto seen = send_request(open_connection, request,
-                                 "c" + std::to_string(number) + '-' + std::to_string(count), 1500);
-        if (seen.status == 0) {
+    for (int count = 0; !state.done; ++count) {
+        const double phase = std::fmod(now_ms(), wave_ms);
+        if (phase > crest_ms) {
+            sleep_ms(wave_ms - phase);
+        }
+        const auto id = "r" + std::to_string(number) + '-' + std::to_string(count);
+        const auto request = request_for("GET", "/read/" + id);
+        if (state.some_leave && share(random) < leaving_share && open_connection != nullptr) {
+            auto sent = request;
+            sent.fields.emplace_back("Chervilturn-Request-Id", id);
+            sent.fields.emplace_back("Chervilturn-Deadline-Ms", "1500");
+            open_connection->write(format_request(sent));
+            sleep_ms(aim_ms / 2 * share(random));
+            open_connection->close();
             open_connection = connection::open(ip, port);
+            continue;
         }
-        {
-            const std::lock_guard lock{log.guard};
-            log.outcomes.push_back(std::move(seen));
+        const auto seen = send_request(open_connection, request, id, 1500);
+        state.reads_served += seen.status == 200 ? 1 : 0;
+        if (seen.status == 0) {
+            open_connection = connection::open(ip, port);
         }
-        sleep_ms(40);
+        sleep_ms(20 + 40 * share(random));
     }
 }
 
-// The host whose node reads the store; 0 when it is not exactly one.
-[[nodiscard]] int find_reader(const deployment& fleet) {
-    int reader = 0;
-    for (int host = 1; host <= hosts; ++host) {
-        if (fleet.is_reader(host)) {
-            reader = reader == 0 ? host : -1;
+void run_payer(int number, const std::string& ip, int port, shared_state& state) {
+    std::mt19937 random{static_cast<unsigned>(1000 + number)};
+    std::uniform_real_distribution<double> share{0.0, 1.0};
+    auto open_connection = connection::open(ip, port);
+    for (int count = 0; !state.done; ++count) {
+        const auto id = "p" + std::to_string(number) + '-' + std::to_string(count);
+        auto seen = send_request(open_connection, request_for("POST", "/pay/" + id), id, 1500);
+        if (seen.status == 0) {
+            open_connection = connection::open(ip, port);
         }
+        {
+            const std::lock_guard lock{state.guard};
+            state.payments.push_back(std::move(seen));
+        }
+        sleep_ms(100 + 300 * share(random));
     }
-    return std::max(reader, 0);
 }
 
-// Counts the requests that reach the server later than the bound, and those of them without its answer.
-int judge(const std::vector<arrival>& arrivals, const std::vector<outcome>& outcomes, double removed_at,
-          record& log) {
-    std::set<std::string> late;
-    double last = 0;
-    for (const auto& item : arrivals) {
-        const double after = item.at_ms - removed_at;
-        log.line("reached " + item.server + ": " + item.id + " at " + std::to_string(item.at_ms) + " ms" +
-                 (item.ran ? ", ran" : ", not run"));
-        if (after > 0) {
-            last = after;
-        }
-        if (after > drain_ms) {
-            late.insert(item.id);
-            log.line("late: " + item.id + " reached the server " + std::to_string(after) +
-                     " ms after its removal was acknowledged");
+int judge(deployment& fleet, const shared_state& state, record& log) {
+    std::map<std::string, std::vector<arrival>> runs;
+    for (const auto& server : fleet.backends) {
+        for (const auto& item : server->arrivals()) {
+            if (item.ran) {
+                runs[item.id].push_back(item);
+            }
         }
     }
-    int unanswered = 0;
-    int served = 0;
-    for (const auto& seen : outcomes) {
-        served += seen.status == 200 ? 1 : 0;
-        log.line("sent: " + seen.id + " at " + std::to_string(seen.sent_at_ms) + " ms, status " +
-                 std::to_string(seen.status) + " at " + std::to_string(seen.ended_at_ms) + " ms, " +
-                 seen.how);
-        if (late.contains(seen.id)) {
-            log.line("late: " + seen.id + " ended for its client with status " + std::to_string(seen.status) +
-                     ", " + seen.how);
-            unanswered += seen.status == 200 ? 0 : 1;
+    int twice = 0;
+    int refused = 0;
+    for (const auto& seen : state.payments) {
+        const auto found = runs.find(seen.id);
+        const auto count = found == runs.end() ? 0 : found->second.size();
+        const bool is_promise =
+            seen.status == 503 || seen.status == 429 || seen.status == 408 || seen.status == 421;
+        log.line("sent: " + seen.id + ", status " + std::to_string(seen.status) + " at " +
+                 std::to_string(seen.ended_at_ms) + " ms, ran " + std::to_string(count) +
+                 (count > 1 ? " TWICE" : "") + (count > 0 && is_promise ? " REFUSED" : ""));
+        for (std::size_t index = 0; count > 1 && index < count; ++index) {
+            log.line("    run at " + found->second[index].server + " from " +
+                     std::to_string(found->second[index].at_ms) + " ms");
         }
+        twice += count > 1 ? 1 : 0;
+        refused += count > 0 && is_promise ? 1 : 0;
     }
-    log.line("requests " + std::to_string(outcomes.size()) + ", served " + std::to_string(served) +
-             ", last one at the server " + std::to_string(last) + " ms after the acknowledgement, bound " +
-             std::to_string(drain_ms) + " ms, late " + std::to_string(late.size()) +
-             ", of these not served " + std::to_string(unanswered));
-    if (served == 0) {
+    log.line("unsafe requests " + std::to_string(state.payments.size()) + ", ran more than once " +
+             std::to_string(twice) + ", refused and ran " + std::to_string(refused) + ", safe ones served " +
+             std::to_string(state.reads_served));
+    if (state.payments.empty() || state.reads_served == 0) {
         return could_not_run;
     }
-    return late.empty() ? rule_held : rule_broken;
+    return twice + refused > 0 ? rule_broken : rule_held;
 }
 
 int play(const std::string& program, record& log) {
     deployment fleet;
-    if (!fleet.start(hosts, program, configuration, {.slots = 6, .work_ms = 150})) {
+    if (!fleet.start(hosts, program, configuration,
+                     {.slots = 6, .queue = 2, .work_ms = 350, .tells_load = false})) {
         log.line("the deployment did not start");
         return could_not_run;
     }
-    sleep_ms(contact_ms + 1000);
-    const int reader = find_reader(fleet);
-    if (reader == 0) {
-        log.line("not exactly one node reads the store");
-        return could_not_run;
-    }
-    const int observed = reader == 1 ? 2 : 1;
-    log.line("node-" + std::to_string(reader) + " reads the store; i-" + std::to_string(observed) +
-             " will leave");
-    if (with_trouble()) {
-        log.line("store down");
-        fleet.platform.pause(true);
-        sleep_ms(outage_ms);
-        fleet.platform.pause(false);
-        log.line("store up");
-    }
-    sleep_ms(since_outage_ms - 2000);
-    std::atomic<bool> done = false;
-    client_log seen;
+    sleep_ms(5000);
+    shared_state state;
     std::vector<std::thread> threads;
-    threads.reserve(clients);
-    for (int number = 0; number < clients; ++number) {
-        threads.emplace_back(
-            [&, number] { run_client(number, deployment::ip_of(observed), fleet.used.callers, done, seen); });
+    threads.reserve(std::size_t{hosts} * (readers_of_host + payers_of_host));
+    for (int number = 0; number < hosts * readers_of_host; ++number) {
+        threads.emplace_back([&, number] {
+            run_reader(number, deployment::ip_of(1 + number % hosts), fleet.used.callers, state);
+        });
     }
-    sleep_ms(2000);
-    auto& reading_node = *fleet.nodes[static_cast<std::size_t>(reader) - 1];
-    auto& leaving = *fleet.backends[static_cast<std::size_t>(observed) - 1];
-    if (with_trouble()) {
-        reading_node.end();
-        log.line("node-" + std::to_string(reader) + " killed");
+    for (int number = 0; number < hosts * payers_of_host; ++number) {
+        threads.emplace_back([&, number] {
+            run_payer(number, deployment::ip_of(1 + number % hosts), fleet.used.callers, state);
+        });
     }
-    fleet.platform.remove(deployment::key_of(observed));
-    const double removed_at = now_ms();
-    log.line("removal of i-" + std::to_string(observed) + " acknowledged");
-    sleep_ms(serves_on_ms);
-    leaving.stop();
-    log.line("i-" + std::to_string(observed) + " has ended");
-    sleep_ms(node_down_ms - serves_on_ms);
-    if (with_trouble()) {
-        static_cast<void>(reading_node.start());
-        log.line("node-" + std::to_string(reader) + " started");
+    for (int window = 0; window < windows; ++window) {
+        state.some_leave = with_trouble();
+        for (std::size_t index = 0; index < faulty_hosts; ++index) {
+            fleet.backends[index]->double_rejections(with_trouble() ? copy_share : 0.0);
+        }
+        sleep_ms(window_ms);
+        state.some_leave = false;
+        for (std::size_t index = 0; index < faulty_hosts; ++index) {
+            const auto [copies, answers] = fleet.backends[index]->doubled();
+            log.line("window " + std::to_string(window + 1) + ": i-" + std::to_string(index + 1) +
+                     " doubled " + std::to_string(copies) + " of " + std::to_string(answers) + " answers");
+            fleet.backends[index]->double_rejections(0.0);
+        }
+        sleep_ms(pause_ms);
     }
-    sleep_ms(2000);
-    done = true;
+    state.done = true;
     for (auto& thread : threads) {
         thread.join();
     }
-    return judge(leaving.arrivals(), seen.outcomes, removed_at, log);
+    sleep_ms(2000);
+    return judge(fleet, state, log);
 }
 
 } // namespace
--- a/review/stand_ins-3/harness.cpp
+++ b/review/stand_ins-3/harness.cpp
@@ -446,29 +446,90 @@
 
 std::string backend::health() const {
     const double cold_left = std::max(0.0, this->cold_until_ms - now_ms());
-    return format_response(this->draining ? 503 : 200,
-                           {{"Chervilturn-Instance-Id", this->options.name},
-                            {"Chervilturn-Server-Load", this->load()},
-                            {"Chervilturn-Cold-Ms", std::to_string(static_cast<long>(cold_left))}},
-                           "");
+    headers fields{{"Chervilturn-Instance-Id", this->options.name},
+                   {"Chervilturn-Cold-Ms", std::to_string(static_cast<long>(cold_left))}};
+    if (this->options.tells_load) {
+        fields.emplace_back("Chervilturn-Server-Load", this->load());
+    }
+    return format_response(this->draining ? 503 : 200, fields, "");
+}
+
+void backend::double_rejections(double share) {
+    this->copies = 0;
+    this->answers = 0;
+    this->copy_share = share;
+}
+
+bool backend::may_double() {
+    if (this->copies + 1 > this->copy_share * this->answers) {
+        return false;
+    }
+    ++this->copies;
+    return true;
 }
 
 void backend::serve(const connection_pointer& client) {
     message request;
+    std::string late_copy;
     while (!this->stopping && client->read(request, 10000) == read_end::complete) {
+        if (!late_copy.empty() && !client->write(std::exchange(late_copy, {}))) {
+            break;
+        }
         const bool asks_health = request.target == "/health";
-        const auto answer = asks_health ? this->health() : this->run(request, client);
+        const auto answer = !asks_health               ? this->run(request, client)
+                            : this->options.tells_load ? this->health()
+                                                       : this->check_in_turn();
+        ++this->answers;
         if (answer.empty() || !client->write(answer)) {
             break;
         }
+        const bool is_rejection = answer.find("Chervilturn-Not-Executed") != std::string::npos;
+        if (asks_health && is_rejection && this->may_double()) {
+            late_copy = answer;
+        }
     }
     client->shut_down();
 }
 
+bool backend::take_slot(std::unique_lock<std::mutex>& lock, double until) {
+    const auto has_slot = [this] { return this->stopping || this->running < this->options.slots; };
+    if (!has_slot() && this->waiting >= this->options.queue) {
+        return false;
+    }
+    ++this->waiting;
+    const bool started = this->slot_free.wait_for(
+        lock, std::chrono::duration<double, std::milli>(std::max(0.0, until - now_ms())), has_slot);
+    --this->waiting;
+    if (!started || this->stopping) {
+        return false;
+    }
+    ++this->running;
+    return true;
+}
+
+void backend::free_slot() {
+    const std::lock_guard lock{this->guard};
+    --this->running;
+    this->slot_free.notify_one();
+}
+
+std::string backend::check_in_turn() {
+    constexpr double check_ms = 6.0;
+    constexpr double patience_ms = 300.0;
+    {
+        std::unique_lock lock{this->guard};
+        if (!this->take_slot(lock, now_ms() + patience_ms)) {
+            return format_response(503, {{"Chervilturn-Not-Executed", "1"}}, "");
+        }
+    }
+    sleep_ms(check_ms);
+    this->free_slot();
+    return this->health();
+}
+
 std::string backend::run(const message& request, const connection_pointer& client) {
     const auto id = request.get("Chervilturn-Request-Id");
     const auto expected = request.get("Chervilturn-Target-Instance");
-    const headers marks{{"Chervilturn-Request-Id", id}, {"Chervilturn-Server-Load", this->load()}};
     if (!expected.empty() && expected != this->options.name) {
         return format_response(421, {{"Chervilturn-Instance-Id", this->options.name}}, "");
     }
@@ -480,36 +541,24 @@
         position = this->log.size();
         this->log.push_back(
             {.at_ms = arrived, .id = id, .path = request.target, .server = this->options.name, .ran = false});
-        const auto has_slot = [this] { return this->stopping || this->running < this->options.slots; };
-        if (!has_slot() && this->waiting >= this->options.queue) {
+        if (!this->take_slot(lock, until)) {
             return format_response(503, {{"Chervilturn-Not-Executed", "1"}, {"Chervilturn-Request-Id", id}},
                                    "");
         }
-        ++this->waiting;
-        const bool started = this->slot_free.wait_for(
-            lock, std::chrono::duration<double, std::milli>(std::max(0.0, until - now_ms())), has_slot);
-        --this->waiting;
-        if (!started || this->stopping) {
-            return format_response(503, {{"Chervilturn-Not-Executed", "1"}, {"Chervilturn-Request-Id", id}},
-                                   "");
-        }
-        ++this->running;
         this->log[position].ran = true;
     }
     const bool handled = this->instead && this->instead(request, client);
     if (!handled) {
         sleep_ms(this->options.work_ms);
     }
-    {
-        const std::lock_guard lock{this->guard};
-        --this->running;
-        this->slot_free.notify_one();
-    }
+    this->free_slot();
     if (handled) {
         return {};
     }
-    auto fields = marks;
-    fields.emplace_back("Chervilturn-Response-Seal", "seal-" + id);
+    headers fields{{"Chervilturn-Request-Id", id}, {"Chervilturn-Response-Seal", "seal-" + id}};
+    if (this->options.tells_load) {
+        fields.emplace_back("Chervilturn-Server-Load", this->load());
+    }
     return format_response(200, fields, "answer to " + id);
 }
 
@@ -650,17 +699,20 @@
         options.port = this->used.backend;
         this->backends.push_back(std::make_unique<backend>(options));
         started = started && this->backends.back()->open();
+        const std::string zone = this->zone_each ? "zone-" + number : "zone-1";
         this->platform.put(key_of(host),
-                           server_entry("svc-a", options.ip + ':' + std::to_string(options.port), "zone-a",
+                           server_entry("svc-a", options.ip + ':' + std::to_string(options.port), zone,
                                         options.slots, "ready", 1));
         const auto settings = this->folder.path() + "/node-" + number + ".json";
-        write_file(settings,
-                   node_settings({.name = "node-" + number,
-                                  .ip = options.ip,
-                                  .zone = "zone-a",
-                                  .service = "svc-a",
-                                  .seeds = seeds},
-                                 this->used, "127.0.0.9", R"([{"name": "zone-a", "region": "north"}])"));
+        write_file(settings, node_settings({.name = "node-" + number,
+                                            .ip = options.ip,
+                                            .zone = zone,
+                                            .service = "svc-a",
+                                            .seeds = seeds},
+                                           this->used, "127.0.0.9",
+                                           R"([{"name": "zone-1", "region": "north"},)"
+                                           R"({"name": "zone-2", "region": "south"},)"
+                                           R"({"name": "zone-3", "region": "east"}])"));
         this->nodes.push_back(
             std::make_unique<node>(program, settings, this->folder.path() + "/node-" + number + ".log"));
         started = started && this->nodes.back()->start();
--- a/review/stand_ins-3/harness.hpp
+++ b/review/stand_ins-3/harness.hpp
@@ -174,6 +174,8 @@
     int slots = 6;
     int queue = 12; // requests that wait for a slot; others are refused
     double work_ms = 30;
+    // Its responses tell no load, and status checks wait for a slot, or are rejected, like any other request.
+    bool tells_load = true;
 };
 
 /// @brief A sound backend server as PROTOCOL.md describes it.
@@ -189,6 +191,11 @@
     [[nodiscard]] bool is_cold() const;
     [[nodiscard]] std::vector<arrival> arrivals();
     [[nodiscard]] bool open() const noexcept { return this->server.open(); }
+    /// @brief From now on rejections of status checks are sent once more, late, where the response to the
+    /// next request on their connection is expected, up to a share of all answers since this call; 0 ends it.
+    void double_rejections(double share);
+    /// @brief Second copies sent so far, and all answers.
+    [[nodiscard]] std::pair<int, int> doubled() const { return {this->copies, this->answers}; }
     void set_draining(bool drains) { this->draining = drains; }
     void stop();
 
@@ -200,6 +207,11 @@
     [[nodiscard]] std::string health() const;
     [[nodiscard]] std::string load() const;
     [[nodiscard]] std::string run(const message& request, const connection_pointer& client);
+    [[nodiscard]] std::string check_in_turn();
+    // Waits for a slot until a time; false when the request is rejected. The lock is held.
+    [[nodiscard]] bool take_slot(std::unique_lock<std::mutex>& lock, double until);
+    void free_slot();
+    [[nodiscard]] bool may_double();
 
     backend_options options;
     std::mutex guard;
@@ -210,6 +222,9 @@
     std::atomic<double> cold_until_ms = 0;
     std::atomic<bool> draining = false;
     std::atomic<bool> stopping = false;
+    std::atomic<double> copy_share = 0;
+    std::atomic<int> copies = 0; // since the last call of double_rejections
+    std::atomic<int> answers = 0;
     listener server;
 };
 
@@ -294,8 +309,8 @@
     std::string folder;
 };
 
-/// @brief Nodes and backend servers of one service, `svc-a`, in one zone: host number N has the address
-/// 127.0.0.N, the node `node-N` and the backend server `i-N`. The store is at 127.0.0.9.
+/// @brief Nodes and backend servers of one service, `svc-a`: host number N has the address 127.0.0.N, the
+/// node `node-N` and the backend server `i-N`. The store is at 127.0.0.9.
 struct deployment {
     /// @brief Starts all of them, and returns when every node is ready; false if one is not.
     [[nodiscard]] bool start(int hosts, const std::string& program, const std::string& config,
@@ -305,6 +320,7 @@
     [[nodiscard]] static std::string ip_of(int host) { return "127.0.0." + std::to_string(host); }
     [[nodiscard]] static std::string key_of(int host) { return "servers/i-" + std::to_string(host); }
 
+    bool zone_each = false; // each host in a zone and region of its own, at most three; else all in one zone
     temporary_folder folder;
     ports used{.callers = free_port(),
                .peers = free_port(),
