--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,7 +8,7 @@
     echo "build the deploy file and run review/build-3.sh first" >&2
     exit 2
 fi
-timeout -k 5 110 "$driver" "$program" review/12/record.txt
+timeout -k 2 116 "$driver" "$program" review/12/record.txt
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
